--- /dev/null
+++ b/damaskdrift/src/caller/mod.rs
@@ -0,0 +1,1 @@
+//! Callers' HTTP listener.
--- /dev/null
+++ b/damaskdrift/src/control/mod.rs
@@ -0,0 +1,5 @@
+//! Background loops and the decisions they keep up to date.
+
+pub mod freshness;
+pub mod observe;
+pub mod slots;
--- /dev/null
+++ b/damaskdrift/src/peer/message.rs
@@ -0,0 +1,196 @@
+//! Messages between instances, encoded as CBOR in binary WebSocket frames.
+
+use damaskdrift_core::fleet;
+use damaskdrift_core::id;
+use damaskdrift_core::time::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Protocol version; a peer with another one is refused.
+pub const PROTOCOL: u16 = 1;
+/// Largest message accepted, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 2 << 20;
+
+/// One frame on a connection.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Frame {
+    /// First frame in each direction.
+    Hello(Hello),
+    /// A request with its correlation number.
+    Request(u64, Request),
+    /// The reply to the request of that number.
+    Reply(u64, Reply),
+}
+
+/// Introduces an instance.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hello {
+    /// Protocol version.
+    pub protocol: u16,
+    /// The sender.
+    pub instance: id::Instance,
+    /// The sender's failure domain.
+    pub failure_domain: id::FailureDomain,
+    /// The sender's start.
+    pub boot: id::Boot,
+}
+
+/// Requests between instances.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Request {
+    /// Heartbeat.
+    Ping(Heartbeat),
+    /// Asks for the installed fleet document.
+    Fleet,
+    /// Offers a newer fleet document.
+    FleetPush(FleetValue),
+    /// Asks the limit owner for slots.
+    Allotment(AllotmentRequest),
+    /// Asks for the requests in flight to the upstreams of a group.
+    InFlight(u16),
+    /// Reports evidence on a running move to its driver.
+    Evidence(Evidence),
+    /// Asks for the peer's status as JSON.
+    Status,
+}
+
+/// Replies between instances.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Reply {
+    /// Answers a heartbeat.
+    Pong(Pong),
+    /// The installed fleet document, if there is one.
+    Fleet(Option<FleetValue>),
+    /// The request was taken.
+    Ack,
+    /// Slots granted by the limit owner.
+    Allotments(Allotments),
+    /// The receiver does not own the group.
+    NotOwner,
+    /// Requests in flight.
+    InFlight(Vec<InFlight>),
+    /// Status as JSON.
+    Status(String),
+}
+
+/// What a heartbeat says of its sender.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Heartbeat {
+    /// Installed revision.
+    pub revision: id::Revision,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+    /// Vetoed moves that the sender knows.
+    pub vetoes: Vec<Veto>,
+}
+
+/// Answers a heartbeat.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Pong {
+    /// What the heartbeat says of its sender.
+    pub heartbeat: Heartbeat,
+    /// Age of the last confirmation that the revision is current, if there was one.
+    pub confirmed_age: Option<Millis>,
+    /// Time since the sender last heard from other members.
+    pub members: Vec<(id::Instance, Millis)>,
+}
+
+/// Stops a move on an instance's own evidence.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Veto {
+    /// The move.
+    pub name: id::Move,
+    /// Why.
+    pub reason: String,
+}
+
+/// A fleet document at its revision.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FleetValue {
+    /// Revision at which the document was written.
+    pub revision: id::Revision,
+    /// The document as JSON, as stored in the key-value service.
+    pub document: String,
+}
+
+/// Asks for slots of the upstreams of a group.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AllotmentRequest {
+    /// The group of upstreams.
+    pub group: u16,
+    /// One entry an upstream.
+    pub entries: Vec<Demand>,
+}
+
+/// What an instance has and wants at one upstream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Demand {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The start of the upstream the instance knows.
+    pub boot: id::Boot,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Slots wanted, those in flight included.
+    pub wanted: u32,
+    /// Answers completed since the last request.
+    pub completed: u32,
+    /// Whether the upstream broke a connection or slowed down sharply since the last request.
+    pub trouble: bool,
+}
+
+/// Slots granted for the upstreams of a group.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Allotments {
+    /// Fencing number of the owner's lease.
+    pub fencing: id::FencingToken,
+    /// One entry an upstream.
+    pub entries: Vec<Allotment>,
+}
+
+/// Slots granted at one upstream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Allotment {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The start of the upstream the slots are bound to.
+    pub boot: id::Boot,
+    /// Slots, those in flight included.
+    pub slots: u32,
+    /// The present limit over all instances.
+    pub limit: u32,
+}
+
+/// Requests in flight at one upstream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct InFlight {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The start of the upstream.
+    pub boot: id::Boot,
+    /// Requests in flight.
+    pub requests: u32,
+}
+
+/// Evidence on a running move since the last report.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Evidence {
+    /// The move.
+    pub name: id::Move,
+    /// Counts as JSON of the `rollout` module's evidence type.
+    pub counts: String,
+}
+
+impl FleetValue {
+    /// Parses and resolves the document.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults.
+    pub fn snapshot(&self) -> Result<fleet::Snapshot, String> {
+        let document = serde_json::from_str(&self.document).map_err(|error| error.to_string())?;
+        fleet::Snapshot::new(self.revision, document).map_err(|faults| {
+            let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+            faults.join("; ")
+        })
+    }
+}
--- /dev/null
+++ b/damaskdrift/src/peer/mod.rs
@@ -0,0 +1,3 @@
+//! Connections between instances.
+
+pub mod message;
--- /dev/null
+++ b/damaskdrift/src/platform/mod.rs
@@ -0,0 +1,3 @@
+//! Clients of the platform's services.
+
+pub mod key_value;
--- /dev/null
+++ b/damaskdrift/src/upstream/mod.rs
@@ -0,0 +1,1 @@
+//! Connections and calls to upstreams.
--- /dev/null
+++ b/damaskdrift_core/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! The fleet document: everything operators configure, in one value.
+
+mod check;
+mod document;
+mod snapshot;
+
+pub use check::{Fault, check};
+pub use document::{
+    Change, Document, DomainState, FailureDomain, Fencing, Kind, ModelRule, Move, MoveState,
+    Parameter, Route, Secret, ServiceLevel, ServiceRule, Template, Upstream, Workspace,
+};
+pub use snapshot::{KeyHash, Snapshot};
--- /dev/null
+++ b/damaskdrift_core/src/fleet/snapshot.rs
@@ -0,0 +1,98 @@
+//! An installed fleet document with what is derived from it.
+
+use std::collections;
+
+use crate::fleet;
+use crate::id;
+use crate::template;
+
+/// BLAKE3 hash of a bearer key.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct KeyHash([u8; 32]);
+
+/// A document at its revision, ready for requests.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Revision at which the document was written.
+    pub revision: id::Revision,
+    /// The document.
+    pub document: fleet::Document,
+    /// Resolved policies by workspace.
+    pub policies: collections::BTreeMap<id::Workspace, template::Policy>,
+    by_key: collections::HashMap<KeyHash, id::Workspace>,
+}
+
+impl KeyHash {
+    /// Hashes a bearer key.
+    pub fn new(key: &str) -> Self {
+        Self(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+
+    /// Parses 64 hexadecimal digits.
+    pub fn from_hex(hex: &str) -> Option<Self> {
+        blake3::Hash::from_hex(hex).ok().map(|hash| Self(*hash.as_bytes()))
+    }
+}
+
+impl Snapshot {
+    /// Resolves a document.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults of the document.
+    pub fn new(
+        revision: id::Revision,
+        document: fleet::Document,
+    ) -> Result<Self, Vec<fleet::Fault>> {
+        let faults = fleet::check(&document);
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        let mut policies = collections::BTreeMap::new();
+        let mut by_key = collections::HashMap::new();
+        for (name, workspace) in &document.workspaces {
+            policies.insert(name.clone(), template::resolve(&document, name)?);
+            if let Some(hash) = KeyHash::from_hex(&workspace.key_hash) {
+                by_key.insert(hash, name.clone());
+            }
+        }
+        Ok(Self { revision, document, policies, by_key })
+    }
+
+    /// Returns the workspace of a bearer key.
+    ///
+    /// The key is hashed before the look-up, so the time taken tells nothing about stored keys.
+    pub fn authenticate(&self, key: &str) -> Option<&id::Workspace> {
+        self.by_key.get(&KeyHash::new(key))
+    }
+
+    /// Returns the engines of a route that lie in failure domains that take new work.
+    pub fn engines<'a>(
+        &'a self,
+        model: &'a id::Model,
+        route: &'a fleet::Route,
+    ) -> impl Iterator<Item = (&'a id::Upstream, &'a fleet::Upstream)> {
+        self.document.upstreams.iter().filter(move |(_, upstream)| {
+            let fleet::Kind::Engine { model: m, version, .. } = &upstream.kind else {
+                return false;
+            };
+            m == model
+                && *version == route.version
+                && route.failure_domains.contains(&upstream.failure_domain)
+                && self.document.is_domain_in(&upstream.failure_domain)
+        })
+    }
+
+    /// Returns the upstreams of a plain service that lie in failure domains that take new work.
+    pub fn services<'a>(
+        &'a self,
+        service: &'a id::Service,
+        policy: &'a template::ServicePolicy,
+    ) -> impl Iterator<Item = (&'a id::Upstream, &'a fleet::Upstream)> {
+        self.document.upstreams.iter().filter(move |(_, upstream)| {
+            matches!(&upstream.kind, fleet::Kind::Service { service: s, .. } if s == service)
+                && policy.failure_domains.contains(&upstream.failure_domain)
+                && self.document.is_domain_in(&upstream.failure_domain)
+        })
+    }
+}
--- /dev/null
+++ b/damaskdrift_core/src/lib.rs
@@ -0,0 +1,7 @@
+//! Decisions of damaskdrift: no input, output, clock or global state.
+
+pub mod code;
+pub mod fleet;
+pub mod id;
+pub mod template;
+pub mod time;
--- /dev/null
+++ b/damaskdrift_core/src/template/mod.rs
@@ -0,0 +1,173 @@
+//! Resolves a workspace's template and parameters into what its traffic may reach.
+
+use std::collections;
+
+use crate::fleet;
+use crate::id;
+
+/// What a workspace's traffic may reach.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Policy {
+    /// Routes by model.
+    pub models: collections::BTreeMap<id::Model, fleet::Route>,
+    /// Policies by plain service.
+    pub services: collections::BTreeMap<id::Service, ServicePolicy>,
+}
+
+/// Where calls to a plain service may go, and which may not be repeated.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServicePolicy {
+    /// The allowed failure domains.
+    pub failure_domains: Vec<id::FailureDomain>,
+    /// Routes that may not be repeated.
+    pub non_idempotent: Vec<RoutePattern>,
+}
+
+/// Matches a method and a path; a trailing `*` matches any rest of the path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutePattern {
+    method: String,
+    path: String,
+}
+
+impl ServicePolicy {
+    /// Returns whether a call may not be repeated.
+    pub fn is_non_idempotent(&self, method: &str, path: &str) -> bool {
+        self.non_idempotent.iter().any(|pattern| pattern.is_match(method, path))
+    }
+}
+
+impl RoutePattern {
+    /// Parses text such as `POST /lodge`, or returns nothing when it has another form.
+    pub fn new(text: &str) -> Option<Self> {
+        let (method, path) = text.split_once(' ')?;
+        let is_method = !method.is_empty() && method.bytes().all(|b| b.is_ascii_uppercase());
+        if !is_method || !path.starts_with('/') {
+            return None;
+        }
+        Some(Self { method: method.to_owned(), path: path.to_owned() })
+    }
+
+    /// Returns whether a method and a path match.
+    pub fn is_match(&self, method: &str, path: &str) -> bool {
+        if self.method != method {
+            return false;
+        }
+        match self.path.strip_suffix('*') {
+            Some(prefix) => path.starts_with(prefix),
+            None => path == self.path,
+        }
+    }
+}
+
+/// Resolves the policy of one workspace.
+///
+/// # Errors
+///
+/// Returns all faults of the workspace's parameters and template.
+pub fn resolve(
+    document: &fleet::Document,
+    name: &id::Workspace,
+) -> Result<Policy, Vec<fleet::Fault>> {
+    let key = format!("workspaces.{name}");
+    let Some(workspace) = document.workspaces.get(name) else {
+        return Err(vec![fleet::Fault::new(&key, "workspace is not declared")]);
+    };
+    let Some(template) = document.templates.get(&workspace.template) else {
+        let message = format!("template {} is not declared", workspace.template);
+        return Err(vec![fleet::Fault::new(&key, &message)]);
+    };
+    let mut resolver = Resolver { document, template, workspace, key: &key, faults: Vec::new() };
+    let policy = resolver.policy();
+    if resolver.faults.is_empty() { Ok(policy) } else { Err(resolver.faults) }
+}
+
+struct Resolver<'a> {
+    document: &'a fleet::Document,
+    template: &'a fleet::Template,
+    workspace: &'a fleet::Workspace,
+    key: &'a str,
+    faults: Vec<fleet::Fault>,
+}
+
+impl Resolver<'_> {
+    fn policy(&mut self) -> Policy {
+        self.check_parameters();
+        let mut policy = Policy::default();
+        for (model, rule) in &self.template.models {
+            let version = self.one(&rule.version);
+            let failure_domains = self.domains(&rule.failure_domains);
+            let route = fleet::Route { version: id::Version::new(&version), failure_domains };
+            policy.models.insert(model.clone(), route);
+        }
+        for (service, rule) in &self.template.services {
+            let failure_domains = self.domains(&rule.failure_domains);
+            let non_idempotent = self.patterns(&rule.non_idempotent);
+            let resolved = ServicePolicy { failure_domains, non_idempotent };
+            policy.services.insert(service.clone(), resolved);
+        }
+        policy
+    }
+
+    fn check_parameters(&mut self) {
+        for name in self.workspace.parameters.keys() {
+            if !self.template.parameters.contains_key(name) {
+                let template = &self.workspace.template;
+                self.fault(&format!("parameter {name} is not declared in template {template}"));
+            }
+        }
+    }
+
+    fn domains(&mut self, values: &[String]) -> Vec<id::FailureDomain> {
+        let mut domains = Vec::new();
+        for value in values {
+            for name in self.expand(value) {
+                let domain = id::FailureDomain::new(&name);
+                if !self.document.failure_domains.contains_key(&domain) {
+                    self.fault(&format!("failure domain {name} is not declared"));
+                }
+                domains.push(domain);
+            }
+        }
+        domains
+    }
+
+    fn patterns(&mut self, values: &[String]) -> Vec<RoutePattern> {
+        let mut patterns = Vec::new();
+        for value in values {
+            match RoutePattern::new(value) {
+                Some(pattern) => patterns.push(pattern),
+                None => self.fault(&format!("route {value:?} is not METHOD /PATH")),
+            }
+        }
+        patterns
+    }
+
+    fn one(&mut self, value: &str) -> String {
+        let mut values = self.expand(value);
+        if values.len() != 1 {
+            self.fault(&format!("{value} must give exactly one value"));
+        }
+        values.pop().unwrap_or_default()
+    }
+
+    fn expand(&mut self, value: &str) -> Vec<String> {
+        let Some(name) = value.strip_prefix("${").and_then(|rest| rest.strip_suffix('}')) else {
+            return vec![value.to_owned()];
+        };
+        let parameter =
+            self.workspace.parameters.get(name).or_else(|| self.template.parameters.get(name));
+        match parameter {
+            Some(fleet::Parameter::One(one)) => vec![one.clone()],
+            Some(fleet::Parameter::Many(many)) => many.clone(),
+            None => {
+                self.fault(&format!("parameter {name} has no value"));
+                Vec::new()
+            }
+        }
+    }
+
+    fn fault(&mut self, message: &str) {
+        self.faults.push(fleet::Fault::new(self.key, message));
+    }
+}
--- /dev/null
+++ b/damaskdrift_lab/src/error.rs
@@ -0,0 +1,25 @@
+//! Failures of the lab's programs.
+
+use std::io;
+
+use thiserror::Error;
+
+/// A lab program that failed.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The command line is wrong.
+    #[error("{_0}")]
+    Usage(String),
+    /// An operation on a socket, file or process failed.
+    #[error("{_0}: {_1}")]
+    Io(String, io::Error),
+    /// A process, answer or measurement was not what was expected.
+    #[error("{_0}")]
+    Unexpected(String),
+}
+
+impl From<lexopt::Error> for Error {
+    fn from(error: lexopt::Error) -> Self {
+        Self::Usage(error.to_string())
+    }
+}
--- /dev/null
+++ b/damaskdrift_lab/src/harness/mod.rs
@@ -0,0 +1,1 @@
+//! Starts, signals and stops processes for tests and experiments.
--- /dev/null
+++ b/damaskdrift_lab/src/proxy/mod.rs
@@ -0,0 +1,14 @@
+//! TCP proxy that injects faults.
+
+use std::process;
+
+use crate::error::Error;
+
+/// Runs the proxy until it is killed.
+///
+/// # Errors
+///
+/// Returns why it could not run.
+pub async fn run(_args: lexopt::Parser) -> Result<process::ExitCode, Error> {
+    Err(Error::Usage("not available yet".to_owned()))
+}
