Add stand-ins for the key-value service, instance list and plain service

Change: three stand-ins on warp behind a shared listener, which can close a connection instead of answering.

--- /dev/null
+++ b/damaskdrift_lab/src/standin/service/fault.rs
@@ -0,0 +1,40 @@
+//! Faults of a plain service.
+
+use serde::{Deserialize, Serialize};
+
+/// Faults in force; a missing field means no such fault.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Probability that a run is answered with 500.
+    pub fail_rate: f64,
+    /// Factor on the time between a run and its answer.
+    pub slow_factor: f64,
+    /// Probability that the connection is closed instead of answered, after the run.
+    pub lose_answers: f64,
+}
+
+impl Default for Fault {
+    fn default() -> Self {
+        Self { fail_rate: 0.0, slow_factor: 1.0, lose_answers: 0.0 }
+    }
+}
+
+impl Fault {
+    /// Checks the values.
+    ///
+    /// # Errors
+    ///
+    /// Returns which value is out of range.
+    pub fn checked(self) -> Result<Self, String> {
+        for (name, value) in [("fail_rate", self.fail_rate), ("lose_answers", self.lose_answers)] {
+            if !(0.0..=1.0).contains(&value) {
+                return Err(format!("{name}: {value} is not in 0.0 to 1.0"));
+            }
+        }
+        if !(0.0..=1e6).contains(&self.slow_factor) {
+            return Err(format!("slow_factor: {} is not in 0.0 to 1e6", self.slow_factor));
+        }
+        Ok(self)
+    }
+}
