Add the engine stand-in with prefix cache and resumable streams

Cause: callers' and placement code need an engine to talk to. Change: block keys chained under a keyed root (core), and an engine process with completions and chat completions, deterministic text, shared prefill and decode rates, a limited prefix cache with late and gappy events, priorities, streams that resume by byte offset, a lagging load report, cold starts and faults.

--- /dev/null
+++ b/damaskdrift_core/src/block/key.rs
@@ -0,0 +1,120 @@
+//! Keys of blocks, chained over the prefix of a prompt.
+
+use std::fmt;
+use std::str;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet;
+use crate::id;
+
+/// Tokens in a block; a token is a whitespace-separated word.
+pub const BLOCK_TOKENS: usize = 16;
+
+const ROOT_PURPOSE: &str = "damaskdrift 2026-12 kv cache chain root";
+
+/// Names a block by its workspace, model, weight version and whole prefix.
+#[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Key([u8; 32]);
+
+impl Key {
+    /// Creates a key from its bytes.
+    pub const fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the bytes.
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl From<Key> for String {
+    fn from(key: Key) -> Self {
+        key.to_string()
+    }
+}
+
+impl TryFrom<String> for Key {
+    type Error = blake3::HexError;
+
+    fn try_from(hex: String) -> Result<Self, Self::Error> {
+        hex.parse()
+    }
+}
+
+impl str::FromStr for Key {
+    type Err = blake3::HexError;
+
+    fn from_str(hex: &str) -> Result<Self, Self::Err> {
+        blake3::Hash::from_hex(hex).map(|hash| Self(*hash.as_bytes()))
+    }
+}
+
+/// Returns the root of the chains of a workspace, model and weight version.
+///
+/// Only the root uses the fleet secret, so an engine that is given the root derives the same keys
+/// without knowing the secret, and no other workspace can derive them.
+pub fn root(
+    secret: &fleet::Secret,
+    workspace: &id::Workspace,
+    model: &id::Model,
+    version: &id::Version,
+) -> Key {
+    let mut hasher = blake3::Hasher::new_keyed(&secret.derive(ROOT_PURPOSE));
+    for part in [workspace.as_str(), model.as_str(), version.as_str()] {
+        hash_part(&mut hasher, part);
+    }
+    Key(*hasher.finalize().as_bytes())
+}
+
+/// Returns the keys of all full blocks of a prompt, the first block first.
+pub fn chain(root: &Key, prompt: &str) -> Vec<Key> {
+    let mut keys = Vec::new();
+    let mut parent = *root;
+    let mut hasher = blake3::Hasher::new_keyed(&parent.0);
+    let mut count = 0;
+    for token in prompt.split_whitespace() {
+        hash_part(&mut hasher, token);
+        count += 1;
+        if count < BLOCK_TOKENS {
+            continue;
+        }
+        parent = Key(*hasher.finalize().as_bytes());
+        keys.push(parent);
+        hasher = blake3::Hasher::new_keyed(&parent.0);
+        count = 0;
+    }
+    keys
+}
+
+/// Returns the prompt of a chat, from role and content of each message.
+pub fn chat_prompt<'a>(messages: impl IntoIterator<Item = (&'a str, &'a str)>) -> String {
+    let mut prompt = String::new();
+    for (role, content) in messages {
+        prompt.push_str(role);
+        prompt.push_str(": ");
+        prompt.push_str(content);
+        prompt.push('\n');
+    }
+    prompt.push_str("assistant:");
+    prompt
+}
+
+fn hash_part(hasher: &mut blake3::Hasher, part: &str) {
+    hasher.update(&(part.len() as u64).to_le_bytes());
+    hasher.update(part.as_bytes());
+}
--- /dev/null
+++ b/damaskdrift_lab/src/standin/engine/options.rs
@@ -0,0 +1,187 @@
+//! Flags of the engine stand-in.
+
+use std::net;
+use std::str;
+use std::time::Duration;
+
+use lexopt::ValueExt as _;
+
+use crate::error::Error;
+
+/// Help text.
+pub const HELP: &str = "\
+Run a stand-in for a model engine
+
+Usage: damaskdrift_lab standin engine --listen IP:PORT --model M --version V --cold-limit N
+
+Options:
+  --prefill-rate F     Prompt tokens a second, shared by the batch; 0 is unlimited [20000]
+  --decode-rate F      Answer tokens a second, shared by the batch; 0 is unlimited [4000]
+  --decode-rate-each F Most answer tokens a second of one request; 0 is unlimited [200]
+  --max-running N      Most requests in the batch [64]
+  --default-tokens N   Answer length when the request sets no max_tokens [16]
+  --cache-blocks N     Prefix cache size in blocks of 16 tokens [4096]
+  --event-delay-ms N   Age at which cache events become visible [200]
+  --event-gap-rate P   Share of cache events that are lost [0.05]
+  --load-lag-ms N      Age of the load report [200]
+  --stream-keep-ms N   How long a finished stream can be read [60000]
+  --cold-ms N          Length of a cold start [0]
+  --cold-overload M    What happens above the cold limit: fail or slow [fail]
+  --cold-factor F      Slowdown during a cold start within the limit [1]
+  --check-fencing      Refuse orders with an old fencing number
+  --seed N             Seed of faults and event gaps [1]
+";
+
+/// What happens above the cold limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ColdOverload {
+    /// Requests above the limit fail.
+    Fail,
+    /// The whole batch slows down.
+    Slow,
+}
+
+/// Flags of the engine stand-in.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Address of the listener.
+    pub listen: net::SocketAddr,
+    /// The model served.
+    pub model: String,
+    /// The weight version served at the start.
+    pub version: String,
+    /// Concurrent requests borne in a cold start.
+    pub cold_limit: usize,
+    /// Prompt tokens a second; 0 is unlimited.
+    pub prefill_rate: f64,
+    /// Answer tokens a second of the batch; 0 is unlimited.
+    pub decode_rate: f64,
+    /// Answer tokens a second of one request; 0 is unlimited.
+    pub decode_rate_each: f64,
+    /// Most requests in the batch.
+    pub max_running: usize,
+    /// Answer length when the request sets none.
+    pub default_tokens: usize,
+    /// Prefix cache size in blocks.
+    pub cache_blocks: usize,
+    /// Age at which cache events become visible.
+    pub event_delay: Duration,
+    /// Share of cache events that are lost.
+    pub event_gap_rate: f64,
+    /// Age of the load report.
+    pub load_lag: Duration,
+    /// How long a finished stream can be read.
+    pub stream_keep: Duration,
+    /// Length of a cold start.
+    pub cold: Duration,
+    /// What happens above the cold limit.
+    pub cold_overload: ColdOverload,
+    /// Slowdown during a cold start within the limit.
+    pub cold_factor: f64,
+    /// Whether orders with an old fencing number are refused.
+    pub check_fencing: bool,
+    /// Seed of faults and event gaps.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)),
+            model: String::new(),
+            version: String::new(),
+            cold_limit: 0,
+            prefill_rate: 20_000.0,
+            decode_rate: 4_000.0,
+            decode_rate_each: 200.0,
+            max_running: 64,
+            default_tokens: 16,
+            cache_blocks: 4_096,
+            event_delay: Duration::from_millis(200),
+            event_gap_rate: 0.05,
+            load_lag: Duration::from_millis(200),
+            stream_keep: Duration::from_secs(60),
+            cold: Duration::ZERO,
+            cold_overload: ColdOverload::Fail,
+            cold_factor: 1.0,
+            check_fencing: false,
+            seed: 1,
+        }
+    }
+}
+
+impl Options {
+    /// Parses the flags; `None` means that help was asked for.
+    ///
+    /// # Errors
+    ///
+    /// Returns which flag is missing, unknown or malformed.
+    pub fn parse(mut args: lexopt::Parser) -> Result<Option<Self>, Error> {
+        let mut cfg = Self::default();
+        let mut has_listen = false;
+        while let Some(arg) = args.next()? {
+            let name = match arg {
+                lexopt::Arg::Short('h') => return Ok(None),
+                lexopt::Arg::Long(name) => name.to_owned(),
+                other => return Err(other.unexpected().into()),
+            };
+            match name.as_str() {
+                "help" => return Ok(None),
+                "listen" => {
+                    cfg.listen = number(&mut args)?;
+                    has_listen = true;
+                }
+                "model" => cfg.model = args.value()?.string()?,
+                "version" => cfg.version = args.value()?.string()?,
+                "cold-limit" => cfg.cold_limit = number(&mut args)?,
+                "prefill-rate" => cfg.prefill_rate = number(&mut args)?,
+                "decode-rate" => cfg.decode_rate = number(&mut args)?,
+                "decode-rate-each" => cfg.decode_rate_each = number(&mut args)?,
+                "max-running" => cfg.max_running = number(&mut args)?,
+                "default-tokens" => cfg.default_tokens = number(&mut args)?,
+                "cache-blocks" => cfg.cache_blocks = number(&mut args)?,
+                "event-delay-ms" => cfg.event_delay = millis(&mut args)?,
+                "event-gap-rate" => cfg.event_gap_rate = number(&mut args)?,
+                "load-lag-ms" => cfg.load_lag = millis(&mut args)?,
+                "stream-keep-ms" => cfg.stream_keep = millis(&mut args)?,
+                "cold-ms" => cfg.cold = millis(&mut args)?,
+                "cold-overload" => cfg.cold_overload = cold_overload(&mut args)?,
+                "cold-factor" => cfg.cold_factor = number(&mut args)?,
+                "check-fencing" => cfg.check_fencing = true,
+                "seed" => cfg.seed = number(&mut args)?,
+                other => return Err(Error::Usage(format!("unknown option --{other}; see --help"))),
+            }
+        }
+        let is_complete = has_listen
+            && !cfg.model.is_empty()
+            && !cfg.version.is_empty()
+            && cfg.cold_limit > 0
+            && (0.0..=1.0).contains(&cfg.event_gap_rate);
+        if !is_complete {
+            let message = "needs --listen, --model, --version, --cold-limit of at least 1 and an \
+                           --event-gap-rate in 0 to 1";
+            return Err(Error::Usage(message.to_owned()));
+        }
+        Ok(Some(cfg))
+    }
+}
+
+fn number<T>(args: &mut lexopt::Parser) -> Result<T, Error>
+where
+    T: str::FromStr,
+    T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    Ok(args.value()?.parse()?)
+}
+
+fn millis(args: &mut lexopt::Parser) -> Result<Duration, Error> {
+    number(args).map(Duration::from_millis)
+}
+
+fn cold_overload(args: &mut lexopt::Parser) -> Result<ColdOverload, Error> {
+    match args.value()?.string()?.as_str() {
+        "fail" => Ok(ColdOverload::Fail),
+        "slow" => Ok(ColdOverload::Slow),
+        other => Err(Error::Usage(format!("--cold-overload {other:?} is not fail or slow"))),
+    }
+}
