Add store and weight store stand-ins, orders and KV transfer of the engine

Cause: kept KV cache and moves need a store, weights and orders to act on. Change: a store with memory and disk tiers, generations, manifests, pins and a shared link; a rate-limited weight store; orders with optional fencing check; export and import of blocks with checksum. The engine adds the version it really runs to the block keys, so a request sent during a version swap cannot store blocks under the keys of the version its sender expected.

--- a/damaskdrift_core/src/block/key.rs
+++ b/damaskdrift_core/src/block/key.rs
@@ -64,27 +64,26 @@
     }
 }
 
-/// Returns the root of the chains of a workspace, model and weight version.
+/// Returns the root of the chains of a workspace and model.
 ///
 /// Only the root uses the fleet secret, so an engine that is given the root derives the same keys
 /// without knowing the secret, and no other workspace can derive them.
-pub fn root(
-    secret: &fleet::Secret,
-    workspace: &id::Workspace,
-    model: &id::Model,
-    version: &id::Version,
-) -> Key {
+pub fn root(secret: &fleet::Secret, workspace: &id::Workspace, model: &id::Model) -> Key {
     let mut hasher = blake3::Hasher::new_keyed(&secret.derive(ROOT_PURPOSE));
-    for part in [workspace.as_str(), model.as_str(), version.as_str()] {
-        hash_part(&mut hasher, part);
-    }
+    hash_part(&mut hasher, workspace.as_str());
+    hash_part(&mut hasher, model.as_str());
     Key(*hasher.finalize().as_bytes())
 }
 
-/// Returns the keys of all full blocks of a prompt, the first block first.
-pub fn chain(root: &Key, prompt: &str) -> Vec<Key> {
+/// Returns the keys of all full blocks of a prompt under a weight version, the first block first.
+///
+/// The engine adds the version that it really runs, so blocks computed during a version swap never
+/// get the key that the sender of the request expected.
+pub fn chain(root: &Key, version: &id::Version, prompt: &str) -> Vec<Key> {
+    let mut hasher = blake3::Hasher::new_keyed(&root.0);
+    hash_part(&mut hasher, version.as_str());
+    let mut parent = Key(*hasher.finalize().as_bytes());
     let mut keys = Vec::new();
-    let mut parent = *root;
     let mut hasher = blake3::Hasher::new_keyed(&parent.0);
     let mut count = 0;
     for token in prompt.split_whitespace() {
--- a/damaskdrift_lab/src/standin/engine/batch.rs
+++ b/damaskdrift_lab/src/standin/engine/batch.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use damaskdrift_core::block;
+use damaskdrift_core::id;
 
 use crate::standin::engine::cache;
 use crate::standin::engine::options;
@@ -22,6 +23,8 @@
     pub chain: Vec<block::Key>,
     /// Root of the chain.
     pub root: block::Key,
+    /// The weight version that runs the request.
+    pub version: id::Version,
     /// The prompt.
     pub prompt: String,
     /// The answer, word by word.
@@ -50,14 +53,16 @@
     pub fn new(
         buffer: sync::Arc<stream::Buffer>,
         root: block::Key,
+        version: id::Version,
         prompt: String,
         words: Vec<String>,
     ) -> Self {
-        let chain = block::chain(&root, &prompt);
+        let chain = block::chain(&root, &version, &prompt);
         Self {
             buffer,
             chain,
             root,
+            version,
             prompt,
             words,
             slow_factor: 1.0,
@@ -144,7 +149,7 @@
         let finished = self.running.extract_if(.., |_, job| job.emitted == job.words.len());
         for (_, job) in finished {
             let answer = format!("{} {}", job.prompt, job.words.join(" "));
-            cache.store(&block::chain(&job.root, &answer), now);
+            cache.store(&block::chain(&job.root, &job.version, &answer), now);
             done.push(job.buffer.id.clone());
         }
         done
--- a/damaskdrift_lab/src/standin/engine/http.rs
+++ b/damaskdrift_lab/src/standin/engine/http.rs
@@ -9,13 +9,16 @@
 use damaskdrift_core::id;
 use serde::Deserialize;
 use serde_json::json;
-use warp::http::{HeaderMap, HeaderValue, StatusCode, header};
+use warp::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use warp::reply::{Reply as _, Response};
 use warp::{Filter, Rejection};
 
+use crate::standin::client;
 use crate::standin::engine::fault;
+use crate::standin::engine::order;
 use crate::standin::engine::state;
 use crate::standin::engine::stream;
+use crate::standin::engine::transfer;
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: u64 = 16 << 20;
@@ -76,6 +79,10 @@
         .unify()
         .or(reports(with.clone().boxed()))
         .unify()
+        .or(transfers(with.clone().boxed()))
+        .unify()
+        .or(orders(with.clone().boxed()))
+        .unify()
         .or(admin(with.boxed()))
         .unify()
         .recover(|rejection: Rejection| async move {
@@ -143,6 +150,67 @@
     load.or(events).unify().boxed()
 }
 
+fn transfers(with: With) -> Routes {
+    let client = client::Client::default();
+    let with_client = warp::any().map(move || client.clone());
+    let export = warp::post()
+        .and(with.clone())
+        .and(warp::path!("v1" / "cache" / "export"))
+        .and(with_client.clone())
+        .and(warp::body::json())
+        .then(|engine: Shared, client: client::Client, req: transfer::Request| async move {
+            warp::reply::json(&transfer::export(&engine, &client, &req).await).into_response()
+        });
+    let import = warp::post()
+        .and(with)
+        .and(warp::path!("v1" / "cache" / "import"))
+        .and(with_client)
+        .and(warp::body::json())
+        .then(|engine: Shared, client: client::Client, req: transfer::Request| async move {
+            warp::reply::json(&transfer::import(&engine, &client, &req).await).into_response()
+        });
+    export.or(import).unify().boxed()
+}
+
+fn orders(with: With) -> Routes {
+    let post = warp::post()
+        .and(with.clone())
+        .and(warp::path!("v1" / "orders"))
+        .and(warp::body::json())
+        .map(|engine: Shared, order: order::Order| {
+            let is_load = order.kind == order::Kind::Load;
+            if is_load && (order.model != engine.cfg.model || order.version.is_empty()) {
+                return failure(StatusCode::BAD_REQUEST, "a load names this model and a version");
+            }
+            if !engine.take_order(&order) {
+                return failure(StatusCode::CONFLICT, "the fencing number is old");
+            }
+            if is_load {
+                tokio::spawn(load(engine, order));
+            }
+            warp::reply::json(&json!({})).into_response()
+        });
+    let taken = warp::get()
+        .and(with)
+        .and(warp::path!("admin" / "orders"))
+        .map(|engine: Shared| warp::reply::json(&engine.orders()).into_response());
+    post.or(taken).unify().boxed()
+}
+
+async fn load(engine: Shared, order: order::Order) {
+    let Some(weights) = engine.cfg.weights else {
+        tokio::time::sleep(engine.cfg.load).await;
+        engine.finish_load(&order);
+        return;
+    };
+    let url = format!("http://{weights}/v1/weights/{}/{}", order.model, order.version);
+    match client::Client::default().call(Method::GET, &url, Bytes::new()).await {
+        Ok((StatusCode::OK, _)) => engine.finish_load(&order),
+        Ok((status, _)) => log::warn!("weight store answered {status} for {url}"),
+        Err(error) => log::warn!("weight store does not answer for {url}: {error}"),
+    }
+}
+
 fn admin(with: With) -> Routes {
     let fault = warp::post()
         .and(with.clone())
@@ -190,6 +258,9 @@
         Err(state::Refusal::Cold) => {
             failure(StatusCode::SERVICE_UNAVAILABLE, "the cold limit is exceeded")
         }
+        Err(state::Refusal::Unloaded) => {
+            failure(StatusCode::SERVICE_UNAVAILABLE, "no version is loaded")
+        }
         Ok(buffer) if body.stream => sse(&buffer, 0),
         Ok(buffer) => whole(&engine, route, &buffer, &prompt).await,
     }
@@ -235,7 +306,6 @@
         &fleet::Secret::default(),
         &id::Workspace::new(workspace),
         &id::Model::new(&engine.cfg.model),
-        &id::Version::new(&engine.version()),
     )
 }
 
--- a/damaskdrift_lab/src/standin/engine/mod.rs
+++ b/damaskdrift_lab/src/standin/engine/mod.rs
@@ -6,9 +6,11 @@
 pub mod fault;
 mod http;
 pub mod options;
+pub mod order;
 pub mod state;
 pub mod stream;
 pub mod text;
+pub mod transfer;
 
 use std::process;
 
--- a/damaskdrift_lab/src/standin/engine/options.rs
+++ b/damaskdrift_lab/src/standin/engine/options.rs
@@ -1,12 +1,12 @@
 //! Flags of the engine stand-in.
 
 use std::net;
-use std::str;
 use std::time::Duration;
 
 use lexopt::ValueExt as _;
 
 use crate::error::Error;
+use crate::standin::flag;
 
 /// Help text.
 pub const HELP: &str = "\
@@ -20,6 +20,9 @@
   --decode-rate-each F Most answer tokens a second of one request; 0 is unlimited [200]
   --max-running N      Most requests in the batch [64]
   --default-tokens N   Answer length when the request sets no max_tokens [16]
+  --block-bytes N      Size of the KV cache of a block in bytes [16384]
+  --load-ms N          Time to load a version without a weight store [100]
+  --weights IP:PORT    Weight store that versions are loaded from
   --cache-blocks N     Prefix cache size in blocks of 16 tokens [4096]
   --event-delay-ms N   Age at which cache events become visible [200]
   --event-gap-rate P   Share of cache events that are lost [0.05]
@@ -64,6 +67,12 @@
     pub default_tokens: usize,
     /// Prefix cache size in blocks.
     pub cache_blocks: usize,
+    /// Size of the KV cache of a block in bytes.
+    pub block_bytes: usize,
+    /// Time to load a version without a weight store.
+    pub load: Duration,
+    /// Weight store that versions are loaded from.
+    pub weights: Option<net::SocketAddr>,
     /// Age at which cache events become visible.
     pub event_delay: Duration,
     /// Share of cache events that are lost.
@@ -97,6 +106,9 @@
             max_running: 64,
             default_tokens: 16,
             cache_blocks: 4_096,
+            block_bytes: 16 << 10,
+            load: Duration::from_millis(100),
+            weights: None,
             event_delay: Duration::from_millis(200),
             event_gap_rate: 0.05,
             load_lag: Duration::from_millis(200),
@@ -128,27 +140,30 @@
             match name.as_str() {
                 "help" => return Ok(None),
                 "listen" => {
-                    cfg.listen = number(&mut args)?;
+                    cfg.listen = flag::value(&mut args)?;
                     has_listen = true;
                 }
                 "model" => cfg.model = args.value()?.string()?,
                 "version" => cfg.version = args.value()?.string()?,
-                "cold-limit" => cfg.cold_limit = number(&mut args)?,
-                "prefill-rate" => cfg.prefill_rate = number(&mut args)?,
-                "decode-rate" => cfg.decode_rate = number(&mut args)?,
-                "decode-rate-each" => cfg.decode_rate_each = number(&mut args)?,
-                "max-running" => cfg.max_running = number(&mut args)?,
-                "default-tokens" => cfg.default_tokens = number(&mut args)?,
-                "cache-blocks" => cfg.cache_blocks = number(&mut args)?,
-                "event-delay-ms" => cfg.event_delay = millis(&mut args)?,
-                "event-gap-rate" => cfg.event_gap_rate = number(&mut args)?,
-                "load-lag-ms" => cfg.load_lag = millis(&mut args)?,
-                "stream-keep-ms" => cfg.stream_keep = millis(&mut args)?,
-                "cold-ms" => cfg.cold = millis(&mut args)?,
+                "cold-limit" => cfg.cold_limit = flag::value(&mut args)?,
+                "prefill-rate" => cfg.prefill_rate = flag::value(&mut args)?,
+                "decode-rate" => cfg.decode_rate = flag::value(&mut args)?,
+                "decode-rate-each" => cfg.decode_rate_each = flag::value(&mut args)?,
+                "max-running" => cfg.max_running = flag::value(&mut args)?,
+                "default-tokens" => cfg.default_tokens = flag::value(&mut args)?,
+                "cache-blocks" => cfg.cache_blocks = flag::value(&mut args)?,
+                "block-bytes" => cfg.block_bytes = flag::value(&mut args)?,
+                "load-ms" => cfg.load = flag::millis(&mut args)?,
+                "weights" => cfg.weights = Some(flag::value(&mut args)?),
+                "event-delay-ms" => cfg.event_delay = flag::millis(&mut args)?,
+                "event-gap-rate" => cfg.event_gap_rate = flag::value(&mut args)?,
+                "load-lag-ms" => cfg.load_lag = flag::millis(&mut args)?,
+                "stream-keep-ms" => cfg.stream_keep = flag::millis(&mut args)?,
+                "cold-ms" => cfg.cold = flag::millis(&mut args)?,
                 "cold-overload" => cfg.cold_overload = cold_overload(&mut args)?,
-                "cold-factor" => cfg.cold_factor = number(&mut args)?,
+                "cold-factor" => cfg.cold_factor = flag::value(&mut args)?,
                 "check-fencing" => cfg.check_fencing = true,
-                "seed" => cfg.seed = number(&mut args)?,
+                "seed" => cfg.seed = flag::value(&mut args)?,
                 other => return Err(Error::Usage(format!("unknown option --{other}; see --help"))),
             }
         }
@@ -166,18 +181,6 @@
     }
 }
 
-fn number<T>(args: &mut lexopt::Parser) -> Result<T, Error>
-where
-    T: str::FromStr,
-    T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    Ok(args.value()?.parse()?)
-}
-
-fn millis(args: &mut lexopt::Parser) -> Result<Duration, Error> {
-    number(args).map(Duration::from_millis)
-}
-
 fn cold_overload(args: &mut lexopt::Parser) -> Result<ColdOverload, Error> {
     match args.value()?.string()?.as_str() {
         "fail" => Ok(ColdOverload::Fail),
--- a/damaskdrift_lab/src/standin/engine/state.rs
+++ b/damaskdrift_lab/src/standin/engine/state.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use damaskdrift_core::block;
+use damaskdrift_core::id;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -14,6 +15,7 @@
 use crate::standin::engine::cache;
 use crate::standin::engine::fault;
 use crate::standin::engine::options;
+use crate::standin::engine::order;
 use crate::standin::engine::stream;
 use crate::standin::engine::text;
 
@@ -62,6 +64,8 @@
     Fault,
     /// The cold limit is exceeded.
     Cold,
+    /// No version is loaded.
+    Unloaded,
 }
 
 /// What the load report says.
@@ -102,6 +106,8 @@
 
 struct State {
     version: String,
+    is_loaded: bool,
+    orders: order::Log,
     batch: batch::Batch,
     cache: cache::Cache,
     streams: collections::HashMap<String, sync::Arc<stream::Buffer>>,
@@ -122,6 +128,8 @@
             cache::Cache::new(cfg.cache_blocks, cfg.event_delay, cfg.event_gap_rate, cfg.seed);
         let state = State {
             version: cfg.version.clone(),
+            is_loaded: true,
+            orders: order::Log::default(),
             batch: batch::Batch::default(),
             cache,
             streams: collections::HashMap::new(),
@@ -160,13 +168,17 @@
         if state.streams.contains_key(&submission.id) {
             return Err(Refusal::Duplicate);
         }
+        if !state.is_loaded {
+            return Err(Refusal::Unloaded);
+        }
         state.check_cold(&self.cfg, now)?;
         let slow_factor = state.check_fault(submission.route, now)?;
         let buffer = stream::Buffer::new(&submission.id, &submission.workspace);
         state.streams.insert(submission.id, buffer.clone());
         let prompt = submission.prompt;
         let words = text::words(&self.cfg.model, &state.version, &prompt, submission.tokens);
-        let mut job = batch::Job::new(buffer.clone(), submission.root, prompt, words);
+        let version = id::Version::new(&state.version);
+        let mut job = batch::Job::new(buffer.clone(), submission.root, version, prompt, words);
         job.slow_factor = slow_factor;
         state.batch.push(submission.priority, job);
         state.advance(&self.cfg, &self.boot, now);
@@ -235,6 +247,49 @@
         state.fault = fault::Active::new(fault, now);
     }
 
+    /// Returns whether a block is in the prefix cache.
+    pub fn holds(&self, key: &block::Key) -> bool {
+        self.lock().cache.contains(key)
+    }
+
+    /// Puts an imported block into the prefix cache.
+    pub fn keep(&self, key: &block::Key) {
+        self.lock().cache.store(&[*key], Instant::now());
+    }
+
+    /// Takes an order; returns whether it was taken.
+    pub fn take_order(&self, order: &order::Order) -> bool {
+        let mut state = self.lock();
+        if !state.orders.take(order, self.cfg.check_fencing) {
+            return false;
+        }
+        if order.kind == order::Kind::Unload {
+            state.is_loaded = false;
+        }
+        true
+    }
+
+    /// Returns the orders taken, the latest last.
+    pub fn orders(&self) -> Vec<order::Order> {
+        self.lock().orders.taken().to_vec()
+    }
+
+    /// Serves the version of a load order from now on, unless a later order was taken.
+    ///
+    /// Requests that run keep the answer of the version they started with. The new version starts
+    /// cold and with an empty prefix cache, because no block of another version may be used.
+    pub fn finish_load(&self, order: &order::Order) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if !state.orders.is_latest(order) {
+            return;
+        }
+        state.version = order.version.clone();
+        state.is_loaded = true;
+        state.cold_until = now + self.cfg.cold;
+        state.cache.clear(now);
+    }
+
     fn advance(&self) -> bool {
         let mut state = self.lock();
         state.advance(&self.cfg, &self.boot, Instant::now());
--- /dev/null
+++ b/damaskdrift_lab/src/standin/engine/transfer.rs
@@ -0,0 +1,151 @@
+//! Export of KV cache blocks to a store and import from it.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use damaskdrift_core::block;
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::standin::client;
+use crate::standin::engine::state;
+use crate::standin::store::tier;
+
+/// Life of the pin that protects a block during its transfer, in milliseconds.
+const PIN_TTL_MS: u64 = 10_000;
+
+/// Asks for blocks to be exported or imported.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Request {
+    /// The blocks in the order of their chain.
+    pub blocks: Vec<block::Key>,
+    /// IP address and port of the store.
+    pub store: String,
+}
+
+/// Tells what was transferred.
+#[derive(Debug, Default, Serialize)]
+pub struct Report {
+    /// Bytes that passed the link.
+    pub bytes: u64,
+    /// The blocks that are now there.
+    pub blocks: Vec<block::Key>,
+}
+
+/// Returns the contents of a block, which follow from its key.
+pub fn contents(key: &block::Key, bytes: usize) -> Bytes {
+    let mut data = vec![0; bytes];
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes());
+    hasher.finalize_xof().fill(&mut data);
+    data.into()
+}
+
+/// Exports the blocks that the cache holds, up to the first that the store does not take.
+pub async fn export(engine: &state::Engine, client: &client::Client, req: &Request) -> Report {
+    let mut report = Report::default();
+    for key in &req.blocks {
+        if !engine.holds(key) {
+            continue;
+        }
+        match export_one(engine, client, &req.store, key).await {
+            Ok(bytes) => report.add(*key, bytes),
+            Err(error) => {
+                log::info!("export of block {key} to {} failed: {error}", req.store);
+                break;
+            }
+        }
+    }
+    report
+}
+
+/// Imports blocks up to the first that is absent or damaged, as later ones need its prefix.
+pub async fn import(engine: &state::Engine, client: &client::Client, req: &Request) -> Report {
+    let mut report = Report::default();
+    for key in &req.blocks {
+        if engine.holds(key) {
+            report.add(*key, 0);
+            continue;
+        }
+        match import_one(client, &req.store, key).await {
+            Ok(data) if data == contents(key, data.len()) => {
+                engine.keep(key);
+                report.add(*key, data.len() as u64);
+            }
+            Ok(_) => {
+                log::warn!("block {key} from {} has the contents of another block", req.store);
+                break;
+            }
+            Err(error) => {
+                log::info!("import of block {key} from {} failed: {error}", req.store);
+                break;
+            }
+        }
+    }
+    report
+}
+
+async fn export_one(
+    engine: &state::Engine,
+    client: &client::Client,
+    store: &str,
+    key: &block::Key,
+) -> Result<u64, String> {
+    let manifest_url = format!("http://{store}/v1/manifests/{key}");
+    let (status, _) = client.call(Method::GET, &manifest_url, Bytes::new()).await?;
+    if status == StatusCode::OK {
+        return Ok(0);
+    }
+    let data = contents(key, engine.cfg.block_bytes);
+    let generation = next_generation();
+    let url = format!("http://{store}/v1/blocks/{key}?generation={generation}");
+    let (status, _) = client.call(Method::PUT, &url, data.clone()).await?;
+    expect_ok(status)?;
+    let checksum = blake3::hash(&data).to_hex().to_string();
+    let manifest = tier::Manifest { generation, bytes: data.len(), checksum };
+    let (status, _) = client.post_json(&manifest_url, &manifest).await?;
+    expect_ok(status)?;
+    Ok(data.len() as u64)
+}
+
+async fn import_one(
+    client: &client::Client,
+    store: &str,
+    key: &block::Key,
+) -> Result<Bytes, String> {
+    let url = format!("http://{store}/v1/manifests/{key}");
+    let (status, body) = client.call(Method::GET, &url, Bytes::new()).await?;
+    expect_ok(status)?;
+    let manifest: tier::Manifest =
+        serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+    let generation = manifest.generation;
+    let url = format!("http://{store}/v1/pins/{key}?generation={generation}&ttl_ms={PIN_TTL_MS}");
+    let (status, _) = client.call(Method::POST, &url, Bytes::new()).await?;
+    expect_ok(status)?;
+    let url = format!("http://{store}/v1/blocks/{key}?generation={generation}");
+    let (status, data) = client.call(Method::GET, &url, Bytes::new()).await?;
+    expect_ok(status)?;
+    let is_whole = data.len() == manifest.bytes;
+    if !is_whole || blake3::hash(&data).to_hex().as_str() != manifest.checksum {
+        return Err("the checksum does not match".to_owned());
+    }
+    Ok(data)
+}
+
+/// Returns a generation above all that were used for a block before.
+fn next_generation() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn expect_ok(status: StatusCode) -> Result<(), String> {
+    if status == StatusCode::OK { Ok(()) } else { Err(format!("status {status}")) }
+}
+
+impl Report {
+    fn add(&mut self, key: block::Key, bytes: u64) {
+        self.bytes += bytes;
+        self.blocks.push(key);
+    }
+}
--- a/damaskdrift_lab/src/standin/mod.rs
+++ b/damaskdrift_lab/src/standin/mod.rs
@@ -1,8 +1,11 @@
 //! Stand-ins for the platform's services and the upstreams.
 
+pub mod client;
 pub mod engine;
+pub mod flag;
 pub mod instances;
 pub mod key_value;
+pub mod link;
 pub mod service;
 pub mod store;
 pub mod weights;
--- a/damaskdrift_lab/tests/engine.rs
+++ b/damaskdrift_lab/tests/engine.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use damaskdrift_core::{block, fleet, id};
 use damaskdrift_lab::standin::engine::text;
 use hyper::Method;
 use rstest::rstest;
@@ -122,3 +123,206 @@
     assert_eq!(engine.call(Method::POST, path, &[], body).await.status, status);
     assert_eq!(engine.get("/admin/stats").await.json()["requests"], 0);
 }
+
+async fn send_many(engine: &StandIn, count: usize, body: &Value) -> Vec<u16> {
+    let ids: Vec<String> = (0..count).map(|_| format!("{:x}", rand::random::<u64>())).collect();
+    let answers = ids.iter().map(|id| send(engine, id, body));
+    let answers = futures_util::future::join_all(answers).await;
+    let mut statuses: Vec<u16> = answers.iter().map(|answer| answer.status.as_u16()).collect();
+    statuses.sort_unstable();
+    statuses
+}
+
+// Guards against a cold engine that bears more than its limit, or never becomes warm.
+#[rstest]
+#[case::within("fail", 2, 0, &[200, 200])]
+#[case::above("fail", 4, 2, &[200, 200, 503, 503])]
+#[case::above_slow("slow", 4, 2, &[200, 200, 200, 200])]
+#[tokio::test]
+async fn cold_limit_is_enforced_and_counted(
+    #[case] overload: &str,
+    #[case] count: usize,
+    #[case] breaches: u64,
+    #[case] statuses: &[u16],
+) {
+    let flags = ["--cold-ms", "1500", "--decode-rate-each", "50", "--cold-overload", overload];
+    let engine = StandIn::engine(&flags).await;
+    let body = completion("one two", 4, false);
+    assert_eq!(send_many(&engine, count, &body).await, statuses);
+    let stats = engine.get("/admin/stats").await.json();
+    assert_eq!(stats["breaches"], breaches);
+    assert_eq!(stats["cold_limit"], 2);
+    engine.post("/admin/fault", &json!({"cold": false})).await;
+    assert_eq!(send_many(&engine, 4, &body).await, [200; 4]);
+    engine.post("/admin/fault", &json!({"cold": true})).await;
+    send_many(&engine, 4, &body).await;
+    let again = engine.get("/admin/stats").await.json();
+    assert_eq!(again["breaches"], breaches + 2);
+}
+
+// Guards against faults that show in another place or at another time than the test asks for.
+#[rstest]
+#[case::at_once(json!({"fail_rate": 1.0}), 0, 2, &[500, 500])]
+#[case::other_route(json!({"fail_rate": 1.0, "route": "/v1/chat/completions"}), 0, 2, &[200, 200])]
+#[case::this_route(json!({"fail_rate": 1.0, "route": "/v1/completions"}), 0, 1, &[500])]
+#[case::not_yet(json!({"fail_rate": 1.0, "after_s": 5.0}), 0, 1, &[200])]
+#[case::later(json!({"fail_rate": 1.0, "after_s": 0.2}), 250, 1, &[500])]
+#[case::few_running(json!({"fail_rate": 1.0, "min_running": 3}), 0, 2, &[200, 200])]
+#[case::many_running(json!({"fail_rate": 1.0, "min_running": 3}), 0, 4, &[200, 200, 500, 500])]
+#[tokio::test]
+async fn versions_fail_as_asked(
+    #[case] fault: Value,
+    #[case] wait_ms: u64,
+    #[case] count: usize,
+    #[case] statuses: &[u16],
+) {
+    let engine = StandIn::engine(&["--decode-rate-each", "50"]).await;
+    engine.post("/admin/fault", &fault).await;
+    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    assert_eq!(send_many(&engine, count, &completion("one two", 4, false)).await, statuses);
+}
+
+// Guards against a slow version that answers as fast as a good one.
+#[tokio::test]
+async fn versions_slow_down_as_asked() {
+    let engine = StandIn::engine(&["--decode-rate-each", "200"]).await;
+    engine.post("/admin/fault", &json!({"slow_factor": 10.0})).await;
+    let started = std::time::Instant::now();
+    send(&engine, "r1", &completion("one two", 9, false)).await;
+    // Eight tokens after the first take 40 ms at 200 a second, ten times that under the fault.
+    assert!(started.elapsed() > Duration::from_millis(300), "{:?}", started.elapsed());
+}
+
+// Guards against a low priority that is served before a high one.
+#[tokio::test]
+async fn high_priority_is_served_first() {
+    let flags = ["--max-running", "1", "--decode-rate-each", "100"];
+    let engine = StandIn::engine(&flags).await;
+    let body = completion("one two", 5, false).to_string();
+    let call = async |priority: &str, wait_ms: u64| {
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        let headers = [("x-priority", priority)];
+        engine.call(Method::POST, "/v1/completions", &headers, body.clone()).await;
+        std::time::Instant::now()
+    };
+    let (_, low, high) = tokio::join!(call("2", 0), call("3", 5), call("0", 10));
+    assert!(high < low);
+}
+
+// Guards against an old order that takes effect where fencing numbers are checked.
+#[rstest]
+#[case::checked(&["--check-fencing"], 409, "v3")]
+#[case::ignored(&[], 200, "v2")]
+#[tokio::test]
+async fn old_orders_are_refused_where_checked(
+    #[case] flags: &[&str],
+    #[case] status: u16,
+    #[case] version: &str,
+) {
+    let engine =
+        StandIn::engine(&[&["--load-ms", "20", "--cold-ms", "5000"], flags].concat()).await;
+    let order = |fencing: u64, version: &str| json!({"fencing": fencing, "kind": "load", "model": "m", "version": version, "deadline_ms": 2000});
+    assert_eq!(engine.post("/v1/orders", &order(7, "v3")).await.status, 200);
+    assert_eq!(engine.post("/v1/orders", &order(6, "v2")).await.status, status);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let answer = engine.get("/v1/load").await;
+    assert_eq!(answer.headers["x-version"], version);
+    assert_eq!(answer.json()["cold"], true);
+}
+
+// Guards against a load report without lag, and cache events that are prompt and complete.
+#[tokio::test]
+async fn reports_lag_and_events_have_gaps() {
+    let flags = ["--event-gap-rate", "0.5", "--event-delay-ms", "200", "--load-lag-ms", "200"];
+    let engine = StandIn::engine(&flags).await;
+    let prompt: Vec<String> = (0..640).map(|n| format!("w{n}")).collect();
+    send(&engine, "r1", &completion(&prompt.join(" "), 1, false)).await;
+    let early = engine.get("/v1/cache/events?after=0").await.json();
+    assert_eq!(early, json!({"events": [], "next": 0}));
+    assert_eq!(engine.get("/v1/load").await.json()["cached_blocks"], 0);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let late = engine.get("/v1/cache/events?after=0").await.json();
+    let count = late["events"].as_array().unwrap().len();
+    assert!((10..30).contains(&count), "{count} of 40 events");
+    assert_eq!(engine.get("/v1/load").await.json()["cached_blocks"], 40);
+    let path = format!("/v1/cache/events?after={}", late["next"]);
+    assert_eq!(engine.get(&path).await.json()["events"], json!([]));
+}
+
+fn prompt_and_keys(words: usize) -> (String, String, Vec<String>) {
+    let prompt: Vec<String> = (0..words).map(|n| format!("w{n}")).collect();
+    let prompt = prompt.join(" ");
+    let secret = fleet::Secret::new("5ec7e7");
+    let root = block::root(&secret, &id::Workspace::new("mill"), &id::Model::new("m"));
+    let keys = block::chain(&root, &id::Version::new("v1"), &prompt);
+    (prompt, root.to_string(), keys.iter().map(ToString::to_string).collect())
+}
+
+async fn send_rooted(engine: &StandIn, root: &str, prompt: &str) {
+    let headers = [("x-workspace", "mill"), ("x-cache-root", root)];
+    let body = completion(prompt, 1, false).to_string();
+    let answer = engine.call(Method::POST, "/v1/completions", &headers, body).await;
+    assert_eq!(answer.status, 200);
+}
+
+// Guards against kept blocks that are lost on the way from one engine through the store to another.
+#[rstest]
+#[case::whole(None, 4)]
+#[case::freed(Some(2), 2)]
+#[tokio::test]
+async fn blocks_travel_through_the_store(#[case] freed: Option<usize>, #[case] imported: usize) {
+    let store = StandIn::start("store", &[]).await;
+    let (first, second) = (StandIn::engine(&[]).await, StandIn::engine(&[]).await);
+    let (prompt, root, keys) = prompt_and_keys(70);
+    send_rooted(&first, &root, &prompt).await;
+    let body = json!({"blocks": keys, "store": store.address});
+    let exported = first.post("/v1/cache/export", &body).await.json();
+    assert_eq!(exported, json!({"bytes": 4 * 16384, "blocks": keys}));
+    let repeated = first.post("/v1/cache/export", &body).await.json();
+    assert_eq!(repeated, json!({"bytes": 0, "blocks": keys}));
+    if let Some(index) = freed {
+        store.post("/admin/free", &json!({"blocks": [keys[index]]})).await;
+    }
+    let report = second.post("/v1/cache/import", &body).await.json();
+    assert_eq!(report, json!({"bytes": imported * 16384, "blocks": keys[..imported]}));
+    send_rooted(&second, &root, &prompt).await;
+    let stats = second.get("/admin/stats").await.json();
+    assert_eq!(stats["cached_tokens"], 16 * imported);
+}
+
+// Guards against blocks that an engine of another version computed under the expected keys.
+#[tokio::test]
+async fn a_version_swap_changes_all_keys() {
+    let store = StandIn::start("store", &[]).await;
+    let engine = StandIn::engine(&["--load-ms", "1"]).await;
+    let order =
+        json!({"fencing": 1, "kind": "load", "model": "m", "version": "v2", "deadline_ms": 2000});
+    engine.post("/v1/orders", &order).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (prompt, root, keys) = prompt_and_keys(70);
+    send_rooted(&engine, &root, &prompt).await;
+    let body = json!({"blocks": keys, "store": store.address});
+    let exported = engine.post("/v1/cache/export", &body).await.json();
+    assert_eq!(exported, json!({"bytes": 0, "blocks": []}));
+}
+
+// Guards against a damaged or swapped block that an engine takes into its cache.
+#[rstest]
+#[case::damaged(true)]
+#[case::swapped(false)]
+#[tokio::test]
+async fn wrong_blocks_are_not_imported(#[case] is_damaged: bool) {
+    let store = StandIn::start("store", &[]).await;
+    let engine = StandIn::engine(&[]).await;
+    let (_, _, keys) = prompt_and_keys(20);
+    let data = vec![7u8; 100];
+    let path = format!("/v1/blocks/{}?generation=1", keys[0]);
+    assert_eq!(store.call(Method::PUT, &path, &[], data.clone()).await.status, 200);
+    let sealed = if is_damaged { vec![8u8; 100] } else { data };
+    let checksum = blake3::hash(&sealed).to_hex().to_string();
+    let manifest = json!({"generation": 1, "bytes": 100, "checksum": checksum});
+    assert_eq!(store.post(&format!("/v1/manifests/{}", keys[0]), &manifest).await.status, 200);
+    let body = json!({"blocks": keys, "store": store.address});
+    let report = engine.post("/v1/cache/import", &body).await.json();
+    assert_eq!(report, json!({"bytes": 0, "blocks": []}));
+}
