--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of damaskdrift: no input, output, clock or global state.
 
 pub mod admission;
+pub mod block;
 pub mod code;
 pub mod fleet;
 pub mod id;
