Decide freshness, claims of a writer, and membership in the core

Cause: an instance that cannot confirm its configuration must stop new work, and the writer of a change must know which silent instances have stopped.

Change: `config_sync` keeps the installed revision, its confirmations and the evidence from peers, and decides between fresh, covered by a majority and stopped. `Propagation` decides what a writer may claim. `membership` keeps the roster from the list and from contact, liveness, pauses and heartbeat targets. A member that the list drops still counts for 5 s, because instances read the list at different moments.

--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -1,7 +1,9 @@
 //! Decisions of damaskdrift: no input, output, clock or global state.
 
 pub mod code;
+pub mod config_sync;
 pub mod fleet;
 pub mod id;
+pub mod membership;
 pub mod template;
 pub mod time;
