--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod admission;
 pub mod block;
 pub mod code;
+pub mod config_sync;
 pub mod fleet;
 pub mod id;
+pub mod membership;
 pub mod template;
 pub mod time;
