Add the operators' listener and the commands that call it

Operators need to read and change the fleet document. The listener checks the bearer token by comparing hashes in constant time and answers GET/PUT /v1/fleet, /v1/domains/ID/out|in, /v1/history, /v1/upstreams and /v1/status; /metrics, /healthz and /readyz need no token. A change is a compare-and-swap on the revision that was read; a change id settles a lost answer, and the loser of a race is told the winner's change.

Commands: check, template show|apply|history, domain out|in|status, upstream status, status. 'check' reports all faults of a TOML document at once with key and line.

--- a/damaskdrift/src/cli.rs
+++ b/damaskdrift/src/cli.rs
@@ -75,6 +75,7 @@
     pub fn exit_code(&self) -> process::ExitCode {
         match self {
             Self::Usage(_) => EXIT_USAGE.into(),
+            Self::Operator(error) => error.exit_code().into(),
             _ => EXIT_FAILED.into(),
         }
     }
--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -8,6 +8,7 @@
 use damaskdrift_core::id;
 use damaskdrift_core::time::{Millis, UnixMillis};
 
+use crate::platform::key_value;
 use crate::settings;
 
 /// State shared by all parts of a running instance.
@@ -18,6 +19,8 @@
     pub boot: id::Boot,
     /// The installed configuration; revision 0 means none.
     pub fleet: ArcSwap<fleet::Snapshot>,
+    /// Client of the key-value service.
+    pub key_value: key_value::Client,
     started: time::Instant,
 }
 
@@ -25,10 +28,13 @@
     /// Creates the context of a new instance.
     pub fn new(settings: settings::Settings) -> sync::Arc<Self> {
         let boot = id::Boot::new(&format!("{:016x}", rand::random::<u64>()));
+        let timeout = time::Duration::from_millis(settings.platform.timeout_ms);
+        let key_value = key_value::Client::new(settings.platform.key_value, timeout);
         sync::Arc::new(Self {
             settings,
             boot,
             fleet: ArcSwap::default(),
+            key_value,
             started: time::Instant::now(),
         })
     }
--- /dev/null
+++ b/damaskdrift/src/operator/command/upstream.rs
@@ -0,0 +1,44 @@
+//! Command `upstream status`.
+
+use crate::operator::Error;
+use crate::operator::command::{Command, Options, Output};
+
+pub const STATUS: Command = Command {
+    name: "upstream status",
+    help: "\
+Show the upstreams as one instance sees them
+
+Usage: damaskdrift upstream status [OPTIONS]
+",
+    arguments: &[],
+    options: &[],
+    run: status,
+};
+
+fn status(options: &Options) -> Result<Output, Error> {
+    let answer = options.client()?.get("/v1/upstreams")?;
+    let mut text = String::new();
+    for upstream in answer["upstreams"].as_array().map(Vec::as_slice).unwrap_or_default() {
+        let word = |key: &str| upstream[key].as_str().unwrap_or("?").to_owned();
+        let work = if upstream["takes_work"] == true { "takes work" } else { "no new work" };
+        text.push_str(&format!(
+            "{}  {}  {}  {work}  {}\n",
+            word("id"),
+            word("address"),
+            word("failure_domain"),
+            kind(&upstream["kind"])
+        ));
+    }
+    Ok(Output::new(answer, text))
+}
+
+fn kind(value: &serde_json::Value) -> String {
+    if let Some(engine) = value.get("engine") {
+        let word = |key: &str| engine[key].as_str().unwrap_or("?").to_owned();
+        return format!("engine {} {}", word("model"), word("version"));
+    }
+    if let Some(service) = value.get("service") {
+        return format!("service {}", service["service"].as_str().unwrap_or("?"));
+    }
+    "store".to_owned()
+}
--- a/damaskdrift/src/operator/mod.rs
+++ b/damaskdrift/src/operator/mod.rs
@@ -1,6 +1,14 @@
 //! Operators' listener and the commands that call it.
 
+mod api;
+pub mod change;
+mod client;
 pub mod command;
+mod document;
 mod error;
+pub mod listener;
+mod refusal;
+pub mod status;
 
 pub use error::Error;
+pub use refusal::Refusal;
