Serve callers: prompts, streams, services and draining

Cause: 'damaskdrift serve' started and ended without serving anyone. Change: the callers' listener authenticates, resolves the workspace's policy and passes prompts and service calls on over connections bound to the upstream's boot id; a stream whose connection breaks is resumed by byte offset; SIGTERM drains. Calls that may not be repeated are refused until claims exist.

--- /dev/null
+++ b/damaskdrift/src/caller/completion.rs
@@ -0,0 +1,217 @@
+//! Answers prompts.
+
+use std::sync;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use damaskdrift_core::code;
+use damaskdrift_core::fleet;
+use damaskdrift_core::id;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::{HeaderMap, Request, Response};
+use warp::Reply as _;
+
+use crate::caller::prompt::Prompt;
+use crate::caller::refusal::Refusal;
+use crate::caller::relay;
+use crate::caller::request::{self, Caller};
+use crate::caller::{answer, request_id};
+use crate::context;
+use crate::control::{freshness, observe, slots};
+use crate::upstream;
+
+/// Header with the priority of a request, 0 highest to 3.
+const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
+/// Priority of a request that names none.
+const DEFAULT_PRIORITY: u8 = 2;
+/// Largest answer that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// A prompt on its way to an engine.
+pub struct Dispatch {
+    cx: sync::Arc<context::Context>,
+    caller: Caller,
+    prompt: Prompt,
+    path: &'static str,
+    priority: u8,
+    version: id::Version,
+    started: Instant,
+}
+
+impl Dispatch {
+    /// Prepares a prompt of an authenticated caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the workspace may not use the model or a header is wrong.
+    pub fn new(
+        cx: sync::Arc<context::Context>,
+        caller: Caller,
+        headers: &HeaderMap,
+        path: &'static str,
+        prompt: Prompt,
+    ) -> Result<Self, Refusal> {
+        let priority = parse_priority(headers)?;
+        let version = route(&caller, &prompt)?.version.clone();
+        Ok(Self { cx, caller, prompt, path, priority, version, started: Instant::now() })
+    }
+
+    /// Sends the prompt to an engine and returns its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when no engine answers.
+    pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
+        freshness::check(&self.cx)?;
+        let targets = self.targets()?;
+        let mut refusal = Refusal::from(code::Code::NoUpstream);
+        for target in targets {
+            match self.attempt(target).await {
+                Ok(response) => return Ok(response),
+                Err(other) => refusal = other,
+            }
+            if refusal.outcome != code::Outcome::NotRun {
+                break;
+            }
+        }
+        Err(refusal)
+    }
+
+    async fn attempt(&self, target: upstream::Target) -> Result<warp::reply::Response, Refusal> {
+        let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
+        let slot = slots::acquire(&self.cx, &target.id, wait).await?;
+        let mut conn = self.cx.upstreams.connect(&target, slot.boot.as_ref()).await?;
+        let secret = &self.caller.fleet.document.secret;
+        let request = request_id::generate(secret, &self.caller.workspace, &target.id);
+        let req = self.request(&request);
+        let response = conn.send(req, self.cx.upstreams.timeouts().answer).await?;
+        if response.status().is_server_error() {
+            let message = format!("{} answered with status {}", target.id, response.status());
+            return Err(Refusal::unknown(code::Code::UpstreamError, &message));
+        }
+        let workspace = self.caller.workspace.clone();
+        let stream = relay::StreamId { target, request, workspace };
+        if is_event_stream(response.headers()) {
+            self.stream(stream, conn, response, slot).await
+        } else {
+            self.whole(stream, conn, response).await
+        }
+    }
+
+    async fn stream(
+        &self,
+        stream: relay::StreamId,
+        conn: upstream::Connection,
+        response: Response<Incoming>,
+        slot: slots::Slot,
+    ) -> Result<warp::reply::Response, Refusal> {
+        let (head, body) = response.into_parts();
+        let head = answer::Head::new(&head, &stream.request);
+        let mut observation = self.observation(&stream.target, &conn);
+        let mut source = relay::Source::new(&self.cx, stream, conn, Some(body), 0).with_slot(slot);
+        let first = source.next().await?;
+        observation.first_token = Some(self.started.elapsed().into());
+        let (tx, rx) = relay::channel();
+        let cx = self.cx.clone();
+        self.cx.tasks.spawn(async move {
+            let seen = source.relay(first.unwrap_or_default(), tx).await;
+            observation.succeeded = seen.is_complete;
+            observation.between_tokens = seen.longest_gap;
+            observe::record(&cx, &observation);
+        });
+        Ok(head.with_body(relay::response(rx)))
+    }
+
+    async fn whole(
+        &self,
+        stream: relay::StreamId,
+        conn: upstream::Connection,
+        mut response: Response<Incoming>,
+    ) -> Result<warp::reply::Response, Refusal> {
+        let wait = self.cx.upstreams.timeouts().answer;
+        let body = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await?;
+        let (head, _) = response.into_parts();
+        let mut observation = self.observation(&stream.target, &conn);
+        observation.succeeded = true;
+        observation.first_token = Some(self.started.elapsed().into());
+        if !head.status.is_client_error() {
+            observe::record(&self.cx, &observation);
+        }
+        if let Some(boot) = &conn.boot {
+            slots::completed(&self.cx, &stream.target.id, boot);
+        }
+        self.cx.upstreams.put(&stream.target, conn);
+        let head = answer::Head::new(&head, &stream.request);
+        Ok(head.with_body(warp::http::Response::new(body).into_response()))
+    }
+
+    fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
+        let workspace = &self.caller.workspace;
+        let secret = &self.caller.fleet.document.secret;
+        let root = self.prompt.cache_root(secret, workspace, &self.version);
+        Request::post(self.path)
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(answer::REQUEST_ID, request.as_str())
+            .header("x-workspace", workspace.as_str())
+            .header("x-cache-root", root)
+            .header(PRIORITY, u16::from(self.priority))
+            .body(Full::new(self.prompt.body.clone()))
+            .expect("ids and numbers are valid header values")
+    }
+
+    fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
+        let route = route(&self.caller, &self.prompt)?;
+        let engines = self.caller.fleet.engines(&self.prompt.model, route);
+        let mut targets: Vec<_> =
+            engines.filter_map(|(id, engine)| upstream::Target::new(id, engine)).collect();
+        upstream::rank(&mut targets, &self.prompt.root);
+        Ok(targets)
+    }
+
+    fn observation(
+        &self,
+        target: &upstream::Target,
+        conn: &upstream::Connection,
+    ) -> observe::Observation {
+        observe::Observation {
+            workspace: self.caller.workspace.clone(),
+            version: Some((self.prompt.model.clone(), self.version.clone())),
+            upstream: Some(target.id.clone()),
+            succeeded: false,
+            first_token: None,
+            between_tokens: None,
+            cold: conn.cold,
+        }
+    }
+}
+
+fn route<'a>(caller: &'a Caller, prompt: &Prompt) -> Result<&'a fleet::Route, Refusal> {
+    caller.policy()?.models.get(&prompt.model).ok_or_else(|| {
+        let message = format!("the workspace may not use model {:?}", prompt.model.as_str());
+        Refusal::new(code::Code::UnknownModel, &message)
+    })
+}
+
+fn parse_priority(headers: &HeaderMap) -> Result<u8, Refusal> {
+    match request::single(headers, &PRIORITY)? {
+        None => Ok(DEFAULT_PRIORITY),
+        Some("0") => Ok(0),
+        Some("1") => Ok(1),
+        Some("2") => Ok(2),
+        Some("3") => Ok(3),
+        Some(_) => Err(Refusal::new(
+            code::Code::BadHeader,
+            "header x-priority is not a number from 0 to 3",
+        )),
+    }
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.starts_with(EVENT_STREAM))
+}
--- /dev/null
+++ b/damaskdrift/src/caller/prompt.rs
@@ -0,0 +1,100 @@
+//! The parts of a prompt that decide where it goes.
+
+use bytes::Bytes;
+use damaskdrift_core::code;
+use damaskdrift_core::fleet;
+use damaskdrift_core::id;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::caller::refusal::Refusal;
+
+/// Length of the part of a plain prompt that is its root, in bytes.
+const ROOT_LEN: usize = 256;
+/// Purpose under which the key of cache roots is derived from the fleet secret.
+const PURPOSE: &str = "damaskdrift 2026 cache root";
+
+/// A prompt as the caller sent it, with what decides where it goes.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// The model.
+    pub model: id::Model,
+    /// Whether the answer is a stream of events.
+    pub is_stream: bool,
+    /// Beginning that prompts of one conversation share.
+    pub root: Bytes,
+    /// The body, unchanged.
+    pub body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    prompt: Value,
+}
+
+#[derive(Deserialize)]
+struct Chat {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    messages: Vec<Value>,
+}
+
+impl Prompt {
+    /// Parses the body of `/v1/completions`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that names the fault of the body.
+    pub fn completion(body: Bytes) -> Result<Self, Refusal> {
+        let request: Completion = parse(&body)?;
+        let text = match request.prompt {
+            Value::String(text) => text,
+            Value::Array(parts) if !parts.is_empty() => Value::Array(parts).to_string(),
+            _ => return Err(malformed("prompt: expected a text or a list")),
+        };
+        let root = text.as_bytes()[..text.len().min(ROOT_LEN)].to_vec().into();
+        Ok(Self { model: id::Model::new(&request.model), is_stream: request.stream, root, body })
+    }
+
+    /// Parses the body of `/v1/chat/completions`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that names the fault of the body.
+    pub fn chat(body: Bytes) -> Result<Self, Refusal> {
+        let request: Chat = parse(&body)?;
+        let Some(first) = request.messages.first() else {
+            return Err(malformed("messages: expected at least one message"));
+        };
+        let root = first.to_string().into();
+        Ok(Self { model: id::Model::new(&request.model), is_stream: request.stream, root, body })
+    }
+
+    /// Returns the key of the prompt's prefix chain root, which differs between workspaces.
+    pub fn cache_root(
+        &self,
+        secret: &fleet::Secret,
+        workspace: &id::Workspace,
+        version: &id::Version,
+    ) -> String {
+        let mut hasher = blake3::Hasher::new_keyed(&secret.derive(PURPOSE));
+        for part in [workspace.as_str(), self.model.as_str(), version.as_str()] {
+            hasher.update(part.as_bytes());
+            hasher.update(&[0]);
+        }
+        hasher.update(&self.root);
+        hasher.finalize().to_hex().to_string()
+    }
+}
+
+fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|error| malformed(&error.to_string()))
+}
+
+fn malformed(fault: &str) -> Refusal {
+    Refusal::new(code::Code::MalformedBody, fault)
+}
--- /dev/null
+++ b/damaskdrift/src/caller/service.rs
@@ -0,0 +1,203 @@
+//! Passes calls on to plain services.
+
+use std::sync;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use damaskdrift_core::code;
+use damaskdrift_core::id;
+use damaskdrift_core::template;
+use http_body_util::Full;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use warp::Reply as _;
+
+use crate::caller::refusal::Refusal;
+use crate::caller::request::{self, Caller};
+use crate::caller::{answer, request_id, route};
+use crate::context;
+use crate::control::{freshness, observe, slots};
+use crate::upstream;
+
+/// Largest answer of a service, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Longest idempotency key, in bytes.
+const MAX_KEY_LEN: usize = 128;
+/// Header that carries the key of a call that may not be repeated.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header that names the caller's workspace to a service.
+const WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
+
+/// A call to a plain service.
+pub struct Call {
+    cx: sync::Arc<context::Context>,
+    caller: Caller,
+    service: id::Service,
+    method: Method,
+    /// Path and query below the service.
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    started: Instant,
+}
+
+/// A complete answer of a service.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The end-to-end headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Prepares a call of an authenticated caller.
+    pub fn new(
+        cx: sync::Arc<context::Context>,
+        caller: Caller,
+        service: &str,
+        method: Method,
+        path: String,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Self {
+        let headers = passed_on(headers);
+        let service = id::Service::new(service);
+        Self { cx, caller, service, method, path, headers, body, started: Instant::now() }
+    }
+
+    /// Runs the call and returns the service's answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when no upstream answers or the call may not be run.
+    pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
+        freshness::check(&self.cx)?;
+        let policy = self.policy()?;
+        let path = self.path.split('?').next().unwrap_or_default();
+        if route::is_non_idempotent(policy, self.method.as_str(), path) {
+            self.key()?;
+            return Err(code::Code::ClaimUnavailable.into());
+        }
+        let mut refusal = Refusal::from(code::Code::NoUpstream);
+        for target in self.targets()? {
+            let request = self.request_id(&target);
+            match self.attempt(&target, &request).await {
+                Ok(answer) => return Ok(answer.into_response(&request)),
+                Err(other) => refusal = other,
+            }
+            if refusal.outcome != code::Outcome::NotRun {
+                break;
+            }
+        }
+        Err(refusal)
+    }
+
+    async fn attempt(
+        &self,
+        target: &upstream::Target,
+        request: &id::Request,
+    ) -> Result<Answer, Refusal> {
+        let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
+        let _slot = slots::acquire(&self.cx, &target.id, wait).await?;
+        let mut conn = self.cx.upstreams.connect(target, None).await?;
+        let answer = self.exchange(&mut conn, request).await?;
+        self.observe(target, answer.status);
+        self.cx.upstreams.put(target, conn);
+        Ok(answer)
+    }
+
+    async fn exchange(
+        &self,
+        conn: &mut upstream::Connection,
+        request: &id::Request,
+    ) -> Result<Answer, upstream::Failure> {
+        let wait = self.cx.upstreams.timeouts().answer;
+        let mut response = conn.send(self.request(request), wait).await?;
+        let body = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await?;
+        let headers = answer::end_to_end(response.headers());
+        Ok(Answer { status: response.status(), headers, body })
+    }
+
+    fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.path.parse().unwrap_or_default();
+        *req.headers_mut() = self.headers.clone();
+        let workspace = header::HeaderValue::from_str(self.caller.workspace.as_str())
+            .expect("a workspace name has only visible ASCII");
+        req.headers_mut().insert(WORKSPACE, workspace);
+        req.headers_mut().insert(answer::REQUEST_ID, answer::value(request));
+        req
+    }
+
+    fn request_id(&self, target: &upstream::Target) -> id::Request {
+        let secret = &self.caller.fleet.document.secret;
+        request_id::generate(secret, &self.caller.workspace, &target.id)
+    }
+
+    fn policy(&self) -> Result<&template::ServicePolicy, Refusal> {
+        self.caller.policy()?.services.get(&self.service).ok_or_else(|| {
+            let message = format!("the workspace may not use service {:?}", self.service.as_str());
+            Refusal::new(code::Code::UnknownService, &message)
+        })
+    }
+
+    fn key(&self) -> Result<&str, Refusal> {
+        let Some(key) = request::single(&self.headers, &IDEMPOTENCY_KEY)? else {
+            let message = "this call may not be repeated and needs an Idempotency-Key header";
+            return Err(Refusal::new(code::Code::KeyMissing, message));
+        };
+        let is_valid =
+            (1..=MAX_KEY_LEN).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic());
+        if !is_valid {
+            let message = "the idempotency key is not 1 to 128 visible ASCII characters";
+            return Err(Refusal::new(code::Code::KeyMalformed, message));
+        }
+        Ok(key)
+    }
+
+    fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
+        let services = self.caller.fleet.services(&self.service, self.policy()?);
+        let mut targets: Vec<_> =
+            services.filter_map(|(id, service)| upstream::Target::new(id, service)).collect();
+        upstream::rank(&mut targets, &rand::random::<[u8; 16]>());
+        Ok(targets)
+    }
+
+    fn observe(&self, target: &upstream::Target, status: StatusCode) {
+        let observation = observe::Observation {
+            workspace: self.caller.workspace.clone(),
+            version: None,
+            upstream: Some(target.id.clone()),
+            succeeded: !status.is_server_error(),
+            first_token: Some(self.started.elapsed().into()),
+            between_tokens: None,
+            cold: false,
+        };
+        observe::record(&self.cx, &observation);
+    }
+}
+
+impl Answer {
+    /// Returns the caller's answer.
+    pub fn into_response(self, request: &id::Request) -> warp::reply::Response {
+        let mut response = warp::http::Response::new(self.body).into_response();
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response.headers_mut().insert(answer::REQUEST_ID, answer::value(request));
+        response
+    }
+}
+
+/// Returns the headers that a service may see; the bearer key is not among them.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = answer::end_to_end(headers);
+    for name in [header::AUTHORIZATION, header::HOST, header::CONTENT_LENGTH, header::EXPECT] {
+        headers.remove(name);
+    }
+    headers
+}
--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -2,13 +2,17 @@
 
 use std::sync;
 use std::time;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
 use damaskdrift_core::time::{Millis, UnixMillis};
 
+use crate::control::{lifecycle, tasks};
+use crate::platform::key_value;
 use crate::settings;
+use crate::upstream;
 
 /// State shared by all parts of a running instance.
 pub struct Context {
@@ -18,6 +22,14 @@
     pub boot: id::Boot,
     /// The installed configuration; revision 0 means none.
     pub fleet: ArcSwap<fleet::Snapshot>,
+    /// The key-value service.
+    pub key_value: key_value::Client,
+    /// Connections to upstreams.
+    pub upstreams: upstream::Pool,
+    /// How far the life of the instance has come.
+    pub lifecycle: lifecycle::Signal,
+    /// Streams and recordings that a stopping instance finishes first.
+    pub tasks: tasks::Tasks,
     started: time::Instant,
 }
 
@@ -25,7 +37,12 @@
     /// Creates the context of a new instance.
     pub fn new(settings: settings::Settings) -> sync::Arc<Self> {
         let boot = id::Boot::new(&format!("{:016x}", rand::random::<u64>()));
+        let timeout = Duration::from_millis(settings.platform.timeout_ms);
         sync::Arc::new(Self {
+            key_value: key_value::Client::new(settings.platform.key_value, timeout),
+            upstreams: upstream::Pool::new(&settings.limits),
+            lifecycle: lifecycle::Signal::default(),
+            tasks: tasks::Tasks::default(),
             settings,
             boot,
             fleet: ArcSwap::default(),
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -1,11 +1,19 @@
 //! Runs an entry instance from start to stop.
 
+use std::net;
 use std::path;
+use std::sync::Arc;
+use std::time::Duration;
 
 use damaskdrift_core::code;
 use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind};
+use tokio::task::JoinHandle;
 
+use crate::caller;
 use crate::context;
+use crate::control::{lifecycle, sync};
 use crate::logging;
 use crate::metrics;
 use crate::settings;
@@ -44,6 +52,50 @@
 }
 
 async fn serve(settings: settings::Settings) -> Result<(), Error> {
-    let _cx = context::Context::new(settings);
+    let cx = context::Context::new(settings);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let starting = lifecycle::Lifecycle::new(&cx.lifecycle);
+    let callers = listen(cx.settings.listen.callers).await?;
+    tokio::spawn(sync::run(cx.clone()));
+    let stop = stop_accepting(cx.clone());
+    let callers = tokio::spawn(caller::serve(cx.clone(), callers, stop));
+    let serving = starting.serve();
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let draining = serving.drain();
+    draining.finish(finish(&cx, callers)).await;
     Ok(())
 }
+
+/// Waits until callers are no longer accepted. The load balancer learns late that the instance is
+/// not ready, so they are accepted for some time after the order to stop.
+async fn stop_accepting(cx: Arc<context::Context>) {
+    cx.lifecycle.reached(lifecycle::Phase::Draining).await;
+    tokio::time::sleep(Duration::from_millis(cx.settings.drain.accept_ms)).await;
+}
+
+async fn finish(cx: &context::Context, callers: JoinHandle<()>) {
+    let work = async {
+        if let Err(error) = callers.await {
+            log::error!("[{}] callers' listener: {error}", code::Code::Internal.number());
+        }
+        cx.tasks.finished().await;
+    };
+    let Some(deadline_ms) = cx.settings.drain.deadline_ms else {
+        return work.await;
+    };
+    if tokio::time::timeout(Duration::from_millis(deadline_ms), work).await.is_err() {
+        log::warn!("drain deadline of {deadline_ms} ms cut off running requests");
+    }
+}
+
+async fn listen(address: net::SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
+}
+
+fn signal(kind: SignalKind) -> Result<Signal, Error> {
+    tokio::signal::unix::signal(kind).map_err(Error::Runtime)
+}
--- /dev/null
+++ b/damaskdrift/src/upstream/pool.rs
@@ -0,0 +1,135 @@
+//! Idle connections to upstreams.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time::{Duration, Instant};
+
+use damaskdrift_core::code;
+use damaskdrift_core::fleet;
+use damaskdrift_core::id;
+
+use crate::settings;
+use crate::upstream::connection::{Connection, Timeouts};
+use crate::upstream::failure::Failure;
+
+/// Most idle connections kept to one upstream.
+const MAX_IDLE: usize = 64;
+/// Age at which an idle connection is closed; it is below the idle timeout of common servers.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
+/// Longest wait for an idle connection to finish its last exchange.
+const READY_WAIT: Duration = Duration::from_millis(20);
+
+/// An upstream that a request was given to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// The upstream.
+    pub id: id::Upstream,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Whether it is a model engine.
+    pub is_engine: bool,
+}
+
+/// Opens connections and keeps idle ones.
+#[derive(Debug)]
+pub struct Pool {
+    timeouts: Timeouts,
+    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    conn: Connection,
+    since: Instant,
+}
+
+impl Target {
+    /// Creates the target of a configured upstream; an invalid address gives none.
+    pub fn new(id: &id::Upstream, upstream: &fleet::Upstream) -> Option<Self> {
+        let address = upstream.address.parse().ok()?;
+        let is_engine = matches!(upstream.kind, fleet::Kind::Engine { .. });
+        Some(Self { id: id.clone(), address, is_engine })
+    }
+}
+
+impl Pool {
+    /// Creates an empty pool.
+    pub fn new(limits: &settings::Limits) -> Self {
+        Self { timeouts: Timeouts::new(limits), idle: sync::Mutex::default() }
+    }
+
+    /// Returns the longest waits on an upstream.
+    pub fn timeouts(&self) -> Timeouts {
+        self.timeouts
+    }
+
+    /// Returns a connection to a start of an upstream, an idle one if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; no byte of a caller's request was sent.
+    pub async fn connect(
+        &self,
+        target: &Target,
+        boot: Option<&id::Boot>,
+    ) -> Result<Connection, Failure> {
+        while let Some(mut conn) = self.take(target, boot) {
+            let ready = tokio::time::timeout(READY_WAIT, conn.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(conn);
+            }
+        }
+        self.open(target, boot).await
+    }
+
+    /// Opens a new connection to a start of an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be opened; no byte of a caller's request was sent.
+    pub async fn open(
+        &self,
+        target: &Target,
+        boot: Option<&id::Boot>,
+    ) -> Result<Connection, Failure> {
+        let conn = Connection::open(target.address, target.is_engine, self.timeouts).await?;
+        if boot.is_some() && conn.boot.as_ref() != boot {
+            let message = format!("{} has restarted since its slot was granted", target.id);
+            return Err(Failure::unsent(code::Code::ConnectFailed, message));
+        }
+        Ok(conn)
+    }
+
+    /// Keeps a connection whose last answer was read to its end.
+    pub fn put(&self, target: &Target, conn: Connection) {
+        if conn.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let kept = idle.entry(target.address).or_default();
+        kept.retain(Idle::is_usable);
+        if kept.len() < MAX_IDLE {
+            kept.push(Idle { conn, since: Instant::now() });
+        }
+    }
+
+    fn take(&self, target: &Target, boot: Option<&id::Boot>) -> Option<Connection> {
+        let mut idle = self.lock();
+        let kept = idle.get_mut(&target.address)?;
+        kept.retain(Idle::is_usable);
+        let position =
+            kept.iter().rposition(|idle| boot.is_none() || idle.conn.boot.as_ref() == boot)?;
+        Some(kept.swap_remove(position).conn)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Idle {
+    fn is_usable(&self) -> bool {
+        !self.conn.is_closed() && self.since.elapsed() < MAX_IDLE_AGE
+    }
+}
