Connect instances: heartbeats, configuration from the service and from peers

Cause: instances need each other's word to stay fresh, to learn a change and to tell an outage of the service from being cut off.

Change: `peer` holds one outgoing connection per peer (tokio-tungstenite, CBOR, correlation numbers, jittered backoff, 2 MB limit) and a listener; a connection with another protocol version or an unknown message is closed with a coded log line. `peer::call`, `Peers::register` and the reply `Refused` are for other parts. Loops: heartbeat, instance list, watch and catch-up of the fleet document. Vetoes travel in heartbeats.

Measured: the nine contract tests in damaskdrift/tests/peer.rs pass.

--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -1,13 +1,20 @@
 //! State shared by all parts of a running instance.
 
+use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use arc_swap::ArcSwap;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
+use damaskdrift_core::membership;
 use damaskdrift_core::time::{Millis, UnixMillis};
+use tokio::sync::watch;
 
+use crate::control::{heartbeat, sync as config};
+use crate::peer;
+use crate::platform::{instance_list, key_value};
 use crate::settings;
 
 /// State shared by all parts of a running instance.
@@ -18,6 +25,23 @@
     pub boot: id::Boot,
     /// The installed configuration; revision 0 means none.
     pub fleet: ArcSwap<fleet::Snapshot>,
+    /// The installed configuration's confirmations.
+    pub sync: config::Sync,
+    /// Connections to other instances.
+    pub peers: peer::Peers,
+    /// Vetoed moves that this instance knows.
+    pub vetoes: heartbeat::Vetoes,
+    /// Upstreams that the platform lists as leaving.
+    pub leaving_upstreams: ArcSwap<collections::BTreeSet<id::Upstream>>,
+    /// Whether the instance is stopping; heartbeats tell peers.
+    pub leaving: atomic::AtomicBool,
+    /// Counts pauses of the process; leases and allotments from before a pause are lost.
+    pub pauses: watch::Sender<u64>,
+    /// Client of the key-value service.
+    pub key_value: key_value::Client,
+    /// Client of the instance list.
+    pub instance_list: instance_list::Client,
+    membership: sync::Mutex<membership::Membership>,
     started: time::Instant,
 }
 
@@ -25,10 +49,23 @@
     /// Creates the context of a new instance.
     pub fn new(settings: settings::Settings) -> sync::Arc<Self> {
         let boot = id::Boot::new(&format!("{:016x}", rand::random::<u64>()));
+        let timeout = time::Duration::from_millis(settings.platform.timeout_ms);
+        let instance = &settings.instance;
+        let membership =
+            membership::Membership::new(instance.id.clone(), instance.failure_domain.clone());
         sync::Arc::new(Self {
+            key_value: key_value::Client::new(settings.platform.key_value, timeout),
+            instance_list: instance_list::Client::new(settings.platform.instance_list, timeout),
             settings,
             boot,
             fleet: ArcSwap::default(),
+            sync: config::Sync::default(),
+            peers: peer::Peers::default(),
+            vetoes: heartbeat::Vetoes::default(),
+            leaving_upstreams: ArcSwap::default(),
+            leaving: atomic::AtomicBool::new(false),
+            pauses: watch::Sender::new(0),
+            membership: sync::Mutex::new(membership),
             started: time::Instant::now(),
         })
     }
@@ -38,6 +75,16 @@
         self.started.elapsed().into()
     }
 
+    /// Locks the view of the fleet; not held across an await.
+    pub fn membership(&self) -> sync::MutexGuard<'_, membership::Membership> {
+        self.membership.lock().expect("no thread panics while it holds the lock")
+    }
+
+    /// Returns the age above which the configuration counts as unconfirmed.
+    pub fn freshness_limit(&self) -> Millis {
+        Millis(self.settings.limits.freshness_limit_ms)
+    }
+
     /// Returns the wall-clock time.
     pub fn unix_now() -> UnixMillis {
         let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
--- /dev/null
+++ b/damaskdrift/src/control/heartbeat.rs
@@ -0,0 +1,166 @@
+//! Exchanges heartbeats with peers.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use damaskdrift_core::config_sync;
+use damaskdrift_core::fleet;
+use damaskdrift_core::id;
+use damaskdrift_core::membership;
+use damaskdrift_core::time::Millis;
+use rand::seq::index;
+use tokio::time;
+
+use crate::context;
+use crate::control::sync as config;
+use crate::peer;
+use crate::peer::message;
+
+/// Time between two heartbeats to the same peer in a small fleet.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Most members named in a pong, so that its size does not grow with the fleet.
+const MAX_MEMBERS: usize = 16;
+
+/// Vetoed moves that this instance knows.
+#[derive(Debug, Default)]
+pub struct Vetoes {
+    by_move: sync::Mutex<collections::BTreeMap<id::Move, String>>,
+}
+
+impl Vetoes {
+    /// Adds a veto and returns whether the move had none.
+    pub fn add(&self, veto: message::Veto) -> bool {
+        let mut by_move = self.lock();
+        if by_move.contains_key(&veto.name) {
+            return false;
+        }
+        by_move.insert(veto.name, veto.reason);
+        true
+    }
+
+    /// Returns all vetoes.
+    pub fn list(&self) -> Vec<message::Veto> {
+        let by_move = self.lock();
+        let veto = |(name, reason): (&id::Move, &String)| message::Veto {
+            name: name.clone(),
+            reason: reason.clone(),
+        };
+        by_move.iter().map(veto).collect()
+    }
+
+    /// Returns whether a move is vetoed.
+    pub fn contains(&self, name: &id::Move) -> bool {
+        self.lock().contains_key(name)
+    }
+
+    /// Drops the vetoes of moves that are not running in a document.
+    pub fn retain_running(&self, document: &fleet::Document) {
+        self.lock().retain(|name, _| is_running(document, name));
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeMap<id::Move, String>> {
+        self.by_move.lock().expect("no thread panics while it holds the lock")
+    }
+}
+
+/// Pings peers until the process ends.
+pub async fn run(cx: sync::Arc<context::Context>) {
+    let mut pulse = membership::Pulse::new();
+    let mut ticks = time::interval(INTERVAL);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = cx.now();
+        if let Some(gap) = pulse.tick(now) {
+            resume_after_pause(&cx, gap);
+        }
+        let peers = cx.membership().peers();
+        cx.peers.retain(&peers);
+        for peer in membership::targets(&peers, &mut rand::rng()) {
+            tokio::spawn(ping(cx.clone(), peer));
+        }
+    }
+}
+
+/// Takes a ping and returns the pong.
+pub fn answer(
+    cx: &sync::Arc<context::Context>,
+    peer: &id::Instance,
+    ping: &message::Heartbeat,
+) -> message::Pong {
+    let now = cx.now();
+    cx.membership().heard(peer, ping.leaving, now);
+    take(cx, peer, ping);
+    let heartbeat = own(cx);
+    let members = members(cx, now);
+    let state = cx.sync.state();
+    // The revision and its age must come from one moment of the state.
+    let heartbeat = message::Heartbeat { revision: state.installed(), ..heartbeat };
+    message::Pong { heartbeat, confirmed_age: state.confirmed_age(now), members }
+}
+
+async fn ping(cx: sync::Arc<context::Context>, peer: id::Instance) {
+    let sent = cx.now();
+    // An unreachable peer shows in its liveness; the link logs the cause.
+    let Ok(reply) = peer::call(&cx, &peer, message::Request::Ping(own(&cx))).await else { return };
+    let message::Reply::Pong(pong) = reply else { return };
+    {
+        let mut membership = cx.membership();
+        membership.heard(&peer, pong.heartbeat.leaving, cx.now());
+        for (member, age) in &pong.members {
+            membership.heard_indirectly(member, sent - *age);
+        }
+    }
+    let report = config_sync::PeerReport {
+        revision: pong.heartbeat.revision,
+        confirmed_age: pong.confirmed_age,
+        members: pong.members,
+    };
+    cx.sync.state().confirm_from_peer(&peer, &report, sent);
+    take(&cx, &peer, &pong.heartbeat);
+}
+
+fn own(cx: &context::Context) -> message::Heartbeat {
+    message::Heartbeat {
+        revision: cx.sync.state().installed(),
+        leaving: cx.leaving.load(atomic::Ordering::Relaxed),
+        vetoes: cx.vetoes.list(),
+    }
+}
+
+fn take(cx: &sync::Arc<context::Context>, peer: &id::Instance, heartbeat: &message::Heartbeat) {
+    config::follow(cx, peer, heartbeat.revision);
+    let fleet = cx.fleet.load();
+    for veto in &heartbeat.vetoes {
+        // Heartbeats repeat, so a veto that comes before its move is taken later; one that comes
+        // after its move has ended must not stay.
+        if is_running(&fleet.document, &veto.name) && cx.vetoes.add(veto.clone()) {
+            log::warn!(r#move:% = veto.name, peer:%; "move vetoed by a peer: {}", veto.reason);
+        }
+    }
+}
+
+/// Returns the members to name in a pong; small fleets need none, because all peers ping directly.
+fn members(cx: &context::Context, now: Millis) -> Vec<(id::Instance, Millis)> {
+    let is_full_mesh = cx.membership().peers().len() < membership::FULL_MESH_MAX;
+    if is_full_mesh {
+        return Vec::new();
+    }
+    let evidence = cx.sync.state().evidence(now, cx.freshness_limit());
+    let len = evidence.len();
+    let chosen = index::sample(&mut rand::rng(), len, len.min(MAX_MEMBERS));
+    chosen.into_iter().map(|i| evidence[i].clone()).collect()
+}
+
+fn resume_after_pause(cx: &context::Context, gap: Millis) {
+    log::warn!("paused for {gap}; confirmations, leases and allotments count as lost");
+    cx.membership().forget_contacts();
+    cx.sync.distrust();
+    cx.pauses.send_modify(|count| *count += 1);
+}
+
+fn is_running(document: &fleet::Document, name: &id::Move) -> bool {
+    document.moves.get(name).is_some_and(|m| m.state == fleet::MoveState::Running)
+}
--- a/damaskdrift/src/control/mod.rs
+++ b/damaskdrift/src/control/mod.rs
@@ -1,5 +1,9 @@
 //! Background loops and the decisions they keep up to date.
 
 pub mod freshness;
+pub mod heartbeat;
 pub mod observe;
+pub mod roster;
 pub mod slots;
+pub mod spread;
+pub mod sync;
--- a/damaskdrift/src/main.rs
+++ b/damaskdrift/src/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(dead_code, reason = "the parts of an instance are added one by one")]
 
+mod backoff;
 mod caller;
 mod cli;
 mod context;
--- /dev/null
+++ b/damaskdrift/src/peer/listener.rs
@@ -0,0 +1,114 @@
+//! Listener for other instances.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use damaskdrift_core::id;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time;
+
+use crate::context;
+use crate::peer::Error;
+use crate::peer::handlers;
+use crate::peer::message;
+use crate::peer::socket;
+
+/// Most connections held open for peers.
+const MAX_CONNECTIONS: usize = 1_024;
+/// Replies of one connection that may wait to be sent.
+const QUEUE_LEN: usize = 64;
+/// Longest time to send a reply to a peer that does not read.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Opens the listener and serves peers in the background.
+///
+/// # Errors
+///
+/// Returns why the address cannot be opened.
+pub async fn start(cx: &sync::Arc<context::Context>) -> io::Result<()> {
+    let listener = TcpListener::bind(cx.settings.listen.peers).await?;
+    tokio::spawn(accept(cx.clone(), listener));
+    Ok(())
+}
+
+async fn accept(cx: sync::Arc<context::Context>, listener: TcpListener) {
+    let permits = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((tcp, address)) => {
+                let cx = cx.clone();
+                tokio::spawn(async move {
+                    serve(&cx, tcp, address).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!("cannot accept a peer: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(cx: &sync::Arc<context::Context>, tcp: TcpStream, address: net::SocketAddr) {
+    let error = match socket::accept(cx, tcp).await {
+        Ok(mut socket) => {
+            let hello = &socket.hello;
+            let peer = hello.instance.clone();
+            cx.membership().contact(&peer, &hello.failure_domain, &hello.boot, cx.now());
+            answer(cx, &peer, &mut socket).await
+        }
+        Err(error) => error,
+    };
+    let code = error.code();
+    match error {
+        Error::Unreachable(_) => log::debug!(code = code.number(), address:%; "{error}"),
+        _ => log::warn!(code = code.number(), address:%; "closed the connection: {error}"),
+    }
+}
+
+/// Answers requests until the connection fails, and returns why it did.
+async fn answer(
+    cx: &sync::Arc<context::Context>,
+    peer: &id::Instance,
+    socket: &mut socket::Socket<TcpStream>,
+) -> Error {
+    let (tx, mut rx) = mpsc::channel(QUEUE_LEN);
+    loop {
+        let frame = tokio::select! {
+            Some(frame) = rx.recv() => frame,
+            frame = socket.receive() => match frame {
+                Ok(message::Frame::Request(number, request)) => {
+                    // Requests run beside each other, so that a slow one delays no heartbeat.
+                    tokio::spawn(reply(cx.clone(), peer.clone(), number, request, tx.clone()));
+                    continue;
+                }
+                Ok(_) => return Error::Message("a frame is no request".to_owned()),
+                Err(error) => return error,
+            },
+        };
+        match time::timeout(SEND_TIMEOUT, socket.send(&frame)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return error,
+            Err(_) => return Error::Unreachable("the peer does not read".to_owned()),
+        }
+    }
+}
+
+async fn reply(
+    cx: sync::Arc<context::Context>,
+    peer: id::Instance,
+    number: u64,
+    request: message::Request,
+    tx: mpsc::Sender<message::Frame>,
+) {
+    let reply = handlers::handle(&cx, &peer, request).await;
+    // The connection may be gone by now; the peer then repeats its request.
+    let _ = tx.send(message::Frame::Reply(number, reply)).await;
+}
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -70,6 +70,8 @@
     InFlight(Vec<InFlight>),
     /// Status as JSON.
     Status(String),
+    /// The request cannot be handled here, with the number of a result code.
+    Refused(u16),
 }
 
 /// What a heartbeat says of its sender.
--- a/damaskdrift/src/platform/mod.rs
+++ b/damaskdrift/src/platform/mod.rs
@@ -1,3 +1,4 @@
 //! Clients of the platform's services.
 
+pub mod instance_list;
 pub mod key_value;
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -1,13 +1,17 @@
 //! Runs an entry instance from start to stop.
 
 use std::path;
+use std::sync;
 
 use damaskdrift_core::code;
 use thiserror::Error;
+use tokio::signal;
 
 use crate::context;
+use crate::control;
 use crate::logging;
 use crate::metrics;
+use crate::peer;
 use crate::settings;
 
 /// An instance that could not start.
@@ -44,6 +48,26 @@
 }
 
 async fn serve(settings: settings::Settings) -> Result<(), Error> {
-    let _cx = context::Context::new(settings);
+    let cx = context::Context::new(settings);
+    start_control(&cx).await?;
+    stop_signal().await.map_err(Error::Runtime)
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stop_signal() -> std::io::Result<()> {
+    let mut terminate = signal::unix::signal(signal::unix::SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        interrupted = signal::ctrl_c() => interrupted,
+    }
+}
+
+/// Opens the peers' listener and starts the background loops.
+async fn start_control(cx: &sync::Arc<context::Context>) -> Result<(), Error> {
+    let address = cx.settings.listen.peers;
+    peer::start(cx).await.map_err(|source| Error::Listen { address, source })?;
+    tokio::spawn(control::roster::run(cx.clone()));
+    tokio::spawn(control::heartbeat::run(cx.clone()));
+    tokio::spawn(control::sync::run(cx.clone()));
     Ok(())
 }
--- /dev/null
+++ b/damaskdrift/tests/peer.rs
@@ -0,0 +1,187 @@
+//! Contract tests of the protocol between instances, against a running instance.
+
+use std::net;
+use std::process;
+use std::time::Duration;
+
+use futures_util::{SinkExt as _, StreamExt as _};
+use rstest::rstest;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::time;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::{self, Message};
+
+const WAIT: Duration = Duration::from_secs(10);
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// A running instance without a platform; it is killed when dropped.
+struct Instance {
+    child: process::Child,
+    dir: tempfile::TempDir,
+    peers: net::SocketAddr,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Instance {
+    fn start() -> Self {
+        let dir = tempfile::tempdir().expect("a temporary folder");
+        let ports: Vec<_> = (0..5).map(|_| free_address()).collect();
+        let token = dir.path().join("token");
+        std::fs::write(&token, "operators").expect("the folder is writable");
+        let settings = format!(
+            "[instance]\nid = \"i1\"\nfailure_domain = \"north\"\n\
+             [listen]\ncallers = \"{}\"\noperators = \"{}\"\npeers = \"{}\"\n\
+             [platform]\nkey_value = \"{}\"\ninstance_list = \"{}\"\n\
+             [operators]\ntoken_file = {token:?}\n",
+            ports[0], ports[1], ports[2], ports[3], ports[4]
+        );
+        let path = dir.path().join("settings.toml");
+        std::fs::write(&path, settings).expect("the folder is writable");
+        let log = std::fs::File::create(dir.path().join("log")).expect("the folder is writable");
+        let child = process::Command::new(env!("CARGO_BIN_EXE_damaskdrift"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .stderr(log)
+            .spawn()
+            .expect("the binary starts");
+        Self { child, dir, peers: ports[2] }
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.dir.path().join("log")).unwrap_or_default()
+    }
+
+    async fn connect(&self) -> Socket {
+        let end = time::Instant::now() + WAIT;
+        loop {
+            if let Ok(tcp) = TcpStream::connect(self.peers).await {
+                let url = format!("ws://{}/", self.peers);
+                let opened = tokio_tungstenite::client_async(url, tcp).await;
+                return opened.expect("the listener speaks WebSocket").0;
+            }
+            assert!(time::Instant::now() < end, "no listener: {}", self.log());
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Connects and exchanges introductions.
+    async fn introduce(&self) -> Socket {
+        let mut socket = self.connect().await;
+        send(&mut socket, &hello(1)).await;
+        let hello = receive(&mut socket).await.expect("an introduction");
+        assert_eq!(hello["Hello"]["instance"], "i1");
+        socket
+    }
+
+    async fn wait_for_log(&self, text: &str) {
+        let end = time::Instant::now() + WAIT;
+        while !self.log().contains(text) {
+            assert!(time::Instant::now() < end, "no {text:?} in: {}", self.log());
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn free_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound listener has an address")
+}
+
+fn hello(protocol: u16) -> serde_json::Value {
+    let sender = json!({"instance": "i2", "failure_domain": "south", "boot": "b2"});
+    let mut hello = json!({"Hello": sender});
+    hello["Hello"]["protocol"] = json!(protocol);
+    hello
+}
+
+fn encode(value: &serde_json::Value) -> Vec<u8> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(value, &mut buf).expect("JSON values can be encoded");
+    buf
+}
+
+async fn send(socket: &mut Socket, value: &serde_json::Value) {
+    socket.send(Message::binary(encode(value))).await.expect("the connection is open");
+}
+
+/// Returns the next frame, or `None` when the connection ended.
+async fn receive(socket: &mut Socket) -> Option<serde_json::Value> {
+    match time::timeout(WAIT, socket.next()).await.expect("an answer in time") {
+        Some(Ok(Message::Binary(bytes))) => {
+            Some(ciborium::from_reader(bytes.as_ref()).expect("a CBOR frame"))
+        }
+        Some(Ok(Message::Close(_)) | Err(_)) | None => None,
+        Some(Ok(other)) => panic!("unexpected message {other:?}"),
+    }
+}
+
+async fn pong(instance: &Instance) -> serde_json::Value {
+    let mut socket = instance.introduce().await;
+    let ping = json!({"Ping": {"revision": 0, "leaving": false, "vetoes": []}});
+    send(&mut socket, &json!({"Request": [7, ping]})).await;
+    receive(&mut socket).await.expect("a pong")
+}
+
+// Guards against a peer of another version or a faulty one stopping an instance, or being closed
+// without a line that tells why.
+#[rstest]
+#[case::other_version(Message::binary(encode(&hello(2))), "5001")]
+#[case::no_introduction(Message::binary(encode(&json!({"Request": [1, "Status"]}))), "5002")]
+#[case::text(Message::text("hello"), "5002")]
+#[case::no_cbor(Message::binary(vec![0xff; 8]), "5002")]
+#[case::own_name(
+    Message::binary(encode(&json!({"Hello":
+        {"protocol": 1, "instance": "i1", "failure_domain": "north", "boot": "b"}}))),
+    "5002"
+)]
+#[tokio::test]
+async fn a_bad_introduction_closes_only_its_connection(#[case] first: Message, #[case] code: &str) {
+    let instance = Instance::start();
+    let mut socket = instance.connect().await;
+    socket.send(first).await.expect("the connection is open");
+    receive(&mut socket).await.expect("the instance introduces itself first");
+    assert_eq!(receive(&mut socket).await, None);
+    instance.wait_for_log(code).await;
+    assert_eq!(pong(&instance).await["Reply"][0], 7);
+}
+
+// Guards against unknown and oversized messages being ignored or stopping the instance.
+#[rstest]
+#[case::unknown(encode(&json!({"Request": [1, {"Gossip": {}}]})))]
+#[case::reply(encode(&json!({"Reply": [1, "Ack"]})))]
+#[case::oversized(vec![0; (2 << 20) + 1])]
+#[tokio::test]
+async fn a_bad_message_closes_only_its_connection(#[case] message: Vec<u8>) {
+    let instance = Instance::start();
+    let mut socket = instance.introduce().await;
+    // The instance may close the connection before an oversized message is written completely.
+    let sent = socket.send(Message::binary(message)).await;
+    assert!(!matches!(sent, Err(tungstenite::Error::Capacity(_))));
+    assert_eq!(receive(&mut socket).await, None);
+    instance.wait_for_log("5002").await;
+    assert_eq!(pong(&instance).await["Reply"][0], 7);
+}
+
+// Guards against replies that carry another request's number.
+#[tokio::test]
+async fn replies_carry_the_number_of_their_request() {
+    let instance = Instance::start();
+    let mut socket = instance.introduce().await;
+    let mut numbers = std::collections::BTreeSet::new();
+    for number in [5, 3, 900] {
+        send(&mut socket, &json!({"Request": [number, "Fleet"]})).await;
+    }
+    for _ in 0..3 {
+        let reply = receive(&mut socket).await.expect("a reply");
+        numbers.insert(reply["Reply"][0].as_u64().expect("a number"));
+    }
+    assert_eq!(numbers, [3, 5, 900].into());
+}
