--- a/damaskdrift/src/control/spread.rs
+++ b/damaskdrift/src/control/spread.rs
@@ -8,7 +8,6 @@
 use damaskdrift_core::config_sync;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
-use damaskdrift_core::time::Millis;
 use thiserror::Error;
 use tokio::task;
 use tokio::time;
@@ -59,8 +58,13 @@
     #[error("the fleet document is larger than the key-value service holds")]
     TooLarge,
     /// The service did not take the change; nothing was written.
-    #[error("the change was not written: {_0}")]
-    NotWritten(String),
+    #[error("the change was not written: {message}")]
+    NotWritten {
+        /// The result code.
+        code: code::Code,
+        /// The cause.
+        message: String,
+    },
     /// The service did not answer; the change may have been written.
     #[error("the change may have been written: {_0}")]
     Unknown(String),
@@ -73,7 +77,8 @@
             Self::Conflict { .. } => code::Code::RevisionConflict,
             Self::Invalid(_) => code::Code::DocumentInvalid,
             Self::TooLarge => code::Code::ValueTooLarge,
-            Self::NotWritten(_) | Self::Unknown(_) => code::Code::PlatformUnavailable,
+            Self::NotWritten { code, .. } => *code,
+            Self::Unknown(_) => code::Code::PlatformUnavailable,
         }
     }
 }
@@ -95,10 +100,11 @@
         return Err(Error::Invalid(faults));
     }
     if cx.membership().roster(cx.now()).is_none() {
-        return Err(Error::NotWritten("the instance list was never read".to_owned()));
+        let message = "the instance list was never read";
+        return Err(not_written(code::Code::PlatformUnavailable, message));
     }
     let document_text = serde_json::to_string(document)
-        .map_err(|error| Error::NotWritten(format!("cannot encode the document: {error}")))?;
+        .map_err(|error| not_written(code::Code::Internal, &error.to_string()))?;
     let entry = settle(cx, expected, &document.change.id, document_text).await?;
     let value = message::FleetValue {
         revision: entry.revision,
@@ -130,16 +136,23 @@
         };
         may_be_written |= error.is_ambiguous();
         if time::Instant::now() >= end {
-            let message = error.to_string();
-            return Err(match may_be_written {
-                true => Error::Unknown(message),
-                false => Error::NotWritten(message),
-            });
+            if may_be_written {
+                return Err(Error::Unknown(error.to_string()));
+            }
+            let code = match error {
+                key_value::Error::Refused(429) => code::Code::PlatformRateLimited,
+                _ => code::Code::PlatformUnavailable,
+            };
+            return Err(not_written(code, &error.to_string()));
         }
         time::sleep(RETRY_PAUSE).await;
     }
 }
 
+fn not_written(code: code::Code, message: &str) -> Error {
+    Error::NotWritten { code, message: message.to_owned() }
+}
+
 /// Tells a lost race from an own write whose answer was lost.
 fn resolve(change: &str, winner: Option<key_value::Entry>) -> Result<key_value::Entry, Error> {
     let Some(entry) = winner else {
@@ -204,8 +217,3 @@
         time::sleep(RETRY_PAUSE).await;
     }
 }
-
-/// Returns how long [`write()`] waits for confirmations at most.
-pub fn longest_wait(cx: &context::Context) -> Millis {
-    cx.freshness_limit() + config_sync::CLAIM_MARGIN
-}
--- a/damaskdrift/src/peer/listener.rs
+++ b/damaskdrift/src/peer/listener.rs
@@ -1,6 +1,5 @@
 //! Listener for other instances.
 
-use std::io;
 use std::net;
 use std::sync;
 use std::time::Duration;
@@ -25,15 +24,9 @@
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Opens the listener and serves peers in the background.
-///
-/// # Errors
-///
-/// Returns why the address cannot be opened.
-pub async fn start(cx: &sync::Arc<context::Context>) -> io::Result<()> {
-    let listener = TcpListener::bind(cx.settings.listen.peers).await?;
+/// Serves peers in the background.
+pub fn start(cx: &sync::Arc<context::Context>, listener: TcpListener) {
     tokio::spawn(accept(cx.clone(), listener));
-    Ok(())
 }
 
 async fn accept(cx: sync::Arc<context::Context>, listener: TcpListener) {
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -1,16 +1,20 @@
 //! Runs an entry instance from start to stop.
 
+use std::net;
 use std::path;
 use std::sync;
 
 use damaskdrift_core::code;
+use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
-use tokio::signal;
+use tokio::signal::unix;
+use tokio_util::sync::CancellationToken;
 
 use crate::context;
 use crate::control;
 use crate::logging;
 use crate::metrics;
+use crate::operator;
 use crate::peer;
 use crate::settings;
 
@@ -28,6 +32,9 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The operators' token cannot be read.
+    #[error("[{}] {_0}", code::Code::SettingsInvalid.number())]
+    Token(String),
     /// The runtime cannot be started.
     #[error("[{}] cannot start the runtime: {_0}", code::Code::Internal.number())]
     Runtime(std::io::Error),
@@ -42,30 +49,45 @@
     let settings = settings::Settings::load(config)?;
     logging::init(&settings.log)
         .map_err(|message| settings::Error::Invalid { path: config.to_owned(), message })?;
-    let _page = metrics::init();
+    let page = metrics::init();
     let runtime = tokio::runtime::Runtime::new().map_err(Error::Runtime)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, page))
 }
 
-async fn serve(settings: settings::Settings) -> Result<(), Error> {
+async fn serve(settings: settings::Settings, page: PrometheusHandle) -> Result<(), Error> {
+    let token = settings.operators.token().map_err(Error::Token)?;
     let cx = context::Context::new(settings);
     start_control(&cx).await?;
-    stop_signal().await.map_err(Error::Runtime)
+    let operators = bind(cx.settings.listen.operators).await?;
+    let stop = CancellationToken::new();
+    let listener = operator::listener::Listener::new(cx.clone(), page, &token);
+    let operators = tokio::spawn(listener.run(operators, stop.clone().cancelled_owned()));
+    stop_signal().await?;
+    stop.cancel();
+    // The listener ends by itself; a panic in it was printed when it happened.
+    let _ = operators.await;
+    Ok(())
+}
+
+async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener, Error> {
+    let socket = tokio::net::TcpListener::bind(address).await;
+    socket.map_err(|source| Error::Listen { address, source })
 }
 
-/// Waits for SIGTERM or SIGINT.
-async fn stop_signal() -> std::io::Result<()> {
-    let mut terminate = signal::unix::signal(signal::unix::SignalKind::terminate())?;
+async fn stop_signal() -> Result<(), Error> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(Error::Runtime)?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(Error::Runtime)?;
     tokio::select! {
-        _ = terminate.recv() => Ok(()),
-        interrupted = signal::ctrl_c() => interrupted,
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
+    Ok(())
 }
 
 /// Opens the peers' listener and starts the background loops.
 async fn start_control(cx: &sync::Arc<context::Context>) -> Result<(), Error> {
-    let address = cx.settings.listen.peers;
-    peer::start(cx).await.map_err(|source| Error::Listen { address, source })?;
+    let peers = bind(cx.settings.listen.peers).await?;
+    peer::start(cx, peers);
     tokio::spawn(control::roster::run(cx.clone()));
     tokio::spawn(control::heartbeat::run(cx.clone()));
     tokio::spawn(control::sync::run(cx.clone()));
