--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -15,10 +15,12 @@
 
 use crate::caller;
 use crate::context;
-use crate::control::{lifecycle, sync};
+use crate::control;
+use crate::control::lifecycle;
 use crate::logging;
 use crate::metrics;
 use crate::operator;
+use crate::peer;
 use crate::settings;
 
 /// An instance that could not start.
@@ -65,7 +67,7 @@
     let starting = lifecycle::Lifecycle::new(&cx.lifecycle);
     let operators = listen(cx.settings.listen.operators).await?;
     let callers = listen(cx.settings.listen.callers).await?;
-    tokio::spawn(sync::run(cx.clone()));
+    start_control(&cx).await?;
     let stop = CancellationToken::new();
     let listener = operator::listener::Listener::new(cx.clone(), page, &token);
     let operators = tokio::spawn(listener.run(operators, stop.clone().cancelled_owned()));
@@ -112,3 +114,13 @@
 fn signal(kind: SignalKind) -> Result<Signal, Error> {
     tokio::signal::unix::signal(kind).map_err(Error::Runtime)
 }
+
+/// Opens the peers' listener and starts the background loops.
+async fn start_control(cx: &Arc<context::Context>) -> Result<(), Error> {
+    let peers = listen(cx.settings.listen.peers).await?;
+    peer::start(cx, peers);
+    tokio::spawn(control::roster::run(cx.clone()));
+    tokio::spawn(control::heartbeat::run(cx.clone()));
+    tokio::spawn(control::sync::run(cx.clone()));
+    Ok(())
+}
