--- a/damaskdrift_lab/src/lib.rs
+++ b/damaskdrift_lab/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod harness;
 pub mod proxy;
 pub mod quickstart;
+pub mod server;
 pub mod standin;
--- /dev/null
+++ b/damaskdrift_lab/src/proxy/admin.rs
@@ -0,0 +1,47 @@
+//! Admin routes of the proxy.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use warp::Filter;
+use warp::http::StatusCode;
+use warp::reply::{Reply, Response};
+
+use crate::proxy::link::{Link, Stats};
+use crate::proxy::mode::Mode;
+use crate::server;
+
+/// Returns the admin routes for some links.
+pub fn routes(
+    links: Arc<[Link]>,
+) -> impl Filter<Extract = (impl Reply,), Error = warp::Rejection> + Clone + Send + Sync + 'static {
+    let with = warp::any().map(move || links.clone());
+    let all = (with.clone().and(warp::put()))
+        .and(warp::path!("mode"))
+        .and(warp::body::bytes())
+        .map(|links: Arc<[Link]>, body: Bytes| set_mode(&links, &body));
+    let one = (with.clone().and(warp::put()))
+        .and(warp::path!("links" / usize / "mode"))
+        .and(warp::body::bytes())
+        .map(|links: Arc<[Link]>, index: usize, body: Bytes| match links.get(index) {
+            Some(link) => set_mode(std::slice::from_ref(link), &body),
+            None => StatusCode::NOT_FOUND.into_response(),
+        });
+    let list = with.and(warp::get()).and(warp::path!("links")).map(|links: Arc<[Link]>| {
+        let stats: Vec<Stats> = links.iter().map(Link::stats).collect();
+        warp::reply::json(&stats).into_response()
+    });
+    all.or(one).unify().or(list).unify()
+}
+
+fn set_mode(links: &[Link], body: &[u8]) -> Response {
+    match server::parse(body).and_then(Mode::checked) {
+        Ok(mode) => {
+            for link in links {
+                link.set_mode(mode);
+            }
+            warp::reply::json(&mode).into_response()
+        }
+        Err(message) => server::bad_request(message),
+    }
+}
--- a/damaskdrift_lab/src/standin/server.rs
+++ b/damaskdrift_lab/src/server.rs
@@ -1,4 +1,4 @@
-//! HTTP listener that the stand-ins share.
+//! HTTP listener that the stand-ins and the proxy share.
 
 use std::convert;
 use std::net;
--- a/damaskdrift_lab/src/standin/instances/mod.rs
+++ b/damaskdrift_lab/src/standin/instances/mod.rs
@@ -10,7 +10,7 @@
 use lexopt::ValueExt as _;
 
 use crate::error::Error;
-use crate::standin::server;
+use crate::server;
 
 pub use list::{Entry, List, Role, State};
 
--- a/damaskdrift_lab/src/standin/instances/routes.rs
+++ b/damaskdrift_lab/src/standin/instances/routes.rs
@@ -8,8 +8,8 @@
 use warp::http::StatusCode;
 use warp::reply::{Reply, Response};
 
+use crate::server;
 use crate::standin::instances::list::{Delayed, List};
-use crate::standin::server;
 
 /// Returns the routes of a list.
 pub fn routes(
--- a/damaskdrift_lab/src/standin/key_value/mod.rs
+++ b/damaskdrift_lab/src/standin/key_value/mod.rs
@@ -12,7 +12,7 @@
 use lexopt::ValueExt as _;
 
 use crate::error::Error;
-use crate::standin::server;
+use crate::server;
 
 pub use fault::Fault;
 pub use service::Stats;
--- a/damaskdrift_lab/src/standin/key_value/routes.rs
+++ b/damaskdrift_lab/src/standin/key_value/routes.rs
@@ -9,10 +9,10 @@
 use warp::path::Tail;
 use warp::reply::{Reply, Response};
 
+use crate::server;
 use crate::standin::key_value::fault::Fault;
 use crate::standin::key_value::service::{Call, Refusal, Service};
 use crate::standin::key_value::store::{Entry, Swap};
-use crate::standin::server;
 
 /// Header with the revision at which a key was last written.
 const REVISION_HEADER: &str = "x-revision";
--- a/damaskdrift_lab/src/standin/mod.rs
+++ b/damaskdrift_lab/src/standin/mod.rs
@@ -3,7 +3,6 @@
 pub mod engine;
 pub mod instances;
 pub mod key_value;
-pub mod server;
 pub mod service;
 pub mod store;
 pub mod weights;
--- a/damaskdrift_lab/src/standin/service/routes.rs
+++ b/damaskdrift_lab/src/standin/service/routes.rs
@@ -10,7 +10,7 @@
 use warp::path::FullPath;
 use warp::reply::{Reply, Response};
 
-use crate::standin::server;
+use crate::server;
 use crate::standin::service::fault::Fault;
 use crate::standin::service::state::State;
 
