Check the upstream and the configuration directly before a request is sent

Change: `freshness::check_upstream` runs before the first byte; upstreams that the platform lists as leaving are not chosen.

--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -20,7 +20,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, request_id};
 use crate::context;
-use crate::control::{freshness, observe, slots};
+use crate::control::{freshness, observe, roster, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, 0 highest to 3.
@@ -86,6 +86,7 @@
         let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
         let slot = slots::acquire(&self.cx, &target.id, wait).await?;
         let mut conn = self.cx.upstreams.connect(&target, slot.boot.as_ref()).await?;
+        freshness::check_upstream(&self.cx, &target.id)?;
         let secret = &self.caller.fleet.document.secret;
         let request = request_id::generate(secret, &self.caller.workspace, &target.id);
         let req = self.request(&request);
@@ -167,6 +168,7 @@
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
         let route = route(&self.caller, &self.prompt)?;
         let engines = self.caller.fleet.engines(&self.prompt.model, route);
+        let engines = engines.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             engines.filter_map(|(id, engine)| upstream::Target::new(id, engine)).collect();
         upstream::rank(&mut targets, &self.prompt.root);
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -17,7 +17,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, request_id, route};
 use crate::context;
-use crate::control::{freshness, observe, slots};
+use crate::control::{freshness, observe, roster, slots};
 use crate::upstream;
 
 /// Largest answer of a service, in bytes.
@@ -104,6 +104,7 @@
         let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
         let _slot = slots::acquire(&self.cx, &target.id, wait).await?;
         let mut conn = self.cx.upstreams.connect(target, None).await?;
+        freshness::check_upstream(&self.cx, &target.id)?;
         let answer = self.exchange(&mut conn, request).await?;
         self.observe(target, answer.status);
         self.cx.upstreams.put(target, conn);
@@ -162,6 +163,7 @@
 
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
         let services = self.caller.fleet.services(&self.service, self.policy()?);
+        let services = services.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             services.filter_map(|(id, service)| upstream::Target::new(id, service)).collect();
         upstream::rank(&mut targets, &rand::random::<[u8; 16]>());
--- a/damaskdrift/src/control/freshness.rs
+++ b/damaskdrift/src/control/freshness.rs
@@ -2,8 +2,10 @@
 
 use damaskdrift_core::code;
 use damaskdrift_core::config_sync::{Freshness, StopReason};
+use damaskdrift_core::id;
 
 use crate::context;
+use crate::control::roster;
 
 /// Checks that new work may start.
 ///
@@ -18,6 +20,29 @@
     }
 }
 
+/// Checks that new work may be sent to an upstream now.
+///
+/// A request may have waited for a slot or a connection for seconds, so this is called directly
+/// before its first byte is sent and uses the configuration of that moment.
+///
+/// # Errors
+///
+/// Returns the code of the refusal when the configuration is not confirmed, or when the upstream
+/// is gone, is leaving, or stands in a failure domain that is out.
+pub fn check_upstream(cx: &context::Context, upstream: &id::Upstream) -> Result<(), code::Code> {
+    check(cx)?;
+    let fleet = cx.fleet.load();
+    let document = &fleet.document;
+    let configured = document.upstreams.get(upstream);
+    if !configured.is_some_and(|upstream| document.is_domain_in(&upstream.failure_domain)) {
+        return Err(code::Code::NoUpstream);
+    }
+    if roster::is_leaving(cx, upstream) {
+        return Err(code::Code::NoUpstream);
+    }
+    Ok(())
+}
+
 /// Returns the decision with its reason.
 pub fn decide(cx: &context::Context) -> Freshness {
     let limit = cx.freshness_limit();
