--- a/damaskdrift_lab/tests/domain_out.rs
+++ b/damaskdrift_lab/tests/domain_out.rs
@@ -80,6 +80,31 @@
     fleet.wait_ready(Duration::from_secs(3)).await.expect("all instances return");
 }
 
+// Guards against work that was given to an upstream before the change and waited for its connection:
+// an instance that has confirmed the change must not send it any more.
+#[tokio::test]
+async fn a_request_that_waited_is_checked_again() {
+    const DELAY: Duration = Duration::from_millis(300);
+    let builder = common::builder(2).with_upstream_links();
+    let mut fleet = builder.start().await.expect("the fleet starts");
+    common::settle(&mut fleet).await;
+    let slow = damaskdrift_lab::proxy::Mode::PASS.with_delay_ms(DELAY.as_millis() as u64);
+    fleet.engine_link(0).set_mode(slow).await.expect("the link is slow");
+    // Opening a connection takes twice the delay, so the change comes in between.
+    let waiting = common::burst(&fleet, 1);
+    time::sleep(DELAY / 2).await;
+    let answer = common::take_out(&fleet, 0, "a").await;
+    assert_eq!(common::names(&answer, "confirmed"), ["entry-0", "entry-1"]);
+    // Requests that were sent before the change arrive after the delay.
+    time::sleep(DELAY + DELAY / 4).await;
+    let before = common::engine_requests(&fleet, 0).await;
+    let answers = waiting.join_all().await;
+    time::sleep(DELAY * 2).await;
+    assert_eq!(common::engine_requests(&fleet, 0).await, before);
+    let failed: Vec<_> = answers.iter().filter(|answer| answer.status != 200).collect();
+    assert!(failed.is_empty(), "requests go to another domain instead: {failed:?}");
+}
+
 // Guards against a command that claims more than its instance can know: the other side has the
 // majority and goes on under the old configuration, because the service is out for it.
 #[tokio::test]
