--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod code;
 pub mod fleet;
 pub mod id;
+pub mod placement;
 pub mod template;
 pub mod time;
--- /dev/null
+++ b/damaskdrift_core/src/placement/estimate.rs
@@ -0,0 +1,128 @@
+//! What an instance knows of the upstreams that may run a prompt.
+
+use std::collections;
+
+use crate::block;
+use crate::id;
+use crate::placement;
+use crate::time::Millis;
+
+/// Prefill rate assumed of an upstream that has not reported yet, in tokens a second.
+const DEFAULT_PREFILL_RATE: f64 = 5_000.0;
+/// Link rate assumed before the first transfer, in bytes a second.
+const DEFAULT_LINK_RATE: f64 = 100e6;
+/// Weight of a new prompt in the average number of computed tokens.
+const TOKENS_WEIGHT: f64 = 0.1;
+/// Computed tokens of a prompt assumed before the first.
+const DEFAULT_TOKENS: f64 = 500.0;
+
+/// What a load report says, with the time at which it was received.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Requests that wait for their first token.
+    pub queued: usize,
+    /// Prompt tokens computed a second.
+    pub prefill_tokens_per_s: f64,
+    /// Blocks in the prefix cache.
+    pub cached_blocks: usize,
+    /// When the report was received.
+    pub at: Millis,
+}
+
+/// What an instance knows of the upstreams that may run a prompt.
+#[derive(Clone, Debug, Default)]
+pub struct Estimates {
+    /// Which blocks each upstream seems to hold.
+    pub residency: placement::Residency,
+    upstreams: collections::HashMap<id::Upstream, State>,
+    mean_tokens: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    report: Option<Report>,
+    /// Tokens to compute and send time of own requests that have no first token yet.
+    sent: Vec<(u64, u64, Millis)>,
+    link: placement::Link,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self { report: None, sent: Vec::new(), link: placement::Link::new(DEFAULT_LINK_RATE) }
+    }
+}
+
+impl Estimates {
+    /// Notes a load report.
+    pub fn note_report(&mut self, upstream: &id::Upstream, boot: &id::Boot, report: Report) {
+        self.residency.set_boot(upstream, boot);
+        self.state(upstream).report = Some(report);
+    }
+
+    /// Notes a request that was sent and the tokens that the upstream has to compute.
+    pub fn note_sent(&mut self, upstream: &id::Upstream, request: u64, tokens: u64, now: Millis) {
+        let mean = self.mean_tokens.unwrap_or(DEFAULT_TOKENS);
+        self.mean_tokens = Some(mean + TOKENS_WEIGHT * (tokens as f64 - mean));
+        self.state(upstream).sent.push((request, tokens, now));
+    }
+
+    /// Notes that the first token of a request came, or that the request ended without one.
+    pub fn note_first_token(&mut self, upstream: &id::Upstream, request: u64) {
+        self.state(upstream).sent.retain(|(id, _, _)| *id != request);
+    }
+
+    /// Returns the transfer link of an upstream.
+    pub fn link(&mut self, upstream: &id::Upstream) -> &mut placement::Link {
+        &mut self.state(upstream).link
+    }
+
+    /// Returns own requests without a first token at an upstream.
+    pub fn outstanding(&self, upstream: &id::Upstream) -> usize {
+        self.upstreams.get(upstream).map_or(0, |state| state.sent.len())
+    }
+
+    /// Returns what is estimated of an upstream for a chain.
+    pub fn candidate<'a>(
+        &self,
+        upstream: &'a id::Upstream,
+        chain: &[block::Key],
+        report_lag: Millis,
+    ) -> placement::Candidate<'a> {
+        let fallback = State::default();
+        let state = self.upstreams.get(upstream).unwrap_or(&fallback);
+        let rate = state.prefill_rate();
+        let mean = self.mean_tokens.unwrap_or(DEFAULT_TOKENS);
+        placement::Candidate {
+            upstream,
+            queue_wait: Millis((state.queued_tokens(mean, report_lag) * 1_000.0 / rate) as u64),
+            prefill_tokens_per_s: rate,
+            cached_blocks: self.residency.prefix(upstream, chain),
+            link_queued_bytes: state.link.queued_bytes(),
+            link_bytes_per_s: state.link.bytes_per_s(),
+        }
+    }
+
+    fn state(&mut self, upstream: &id::Upstream) -> &mut State {
+        self.upstreams.entry(upstream.clone()).or_default()
+    }
+}
+
+impl State {
+    fn prefill_rate(&self) -> f64 {
+        let rate = self.report.as_ref().map_or(0.0, |report| report.prefill_tokens_per_s);
+        if rate > 0.0 { rate } else { DEFAULT_PREFILL_RATE }
+    }
+
+    /// Returns the larger of two estimates, each of which can only miss work: own requests without
+    /// a first token, and the reported queue plus own requests sent since.
+    fn queued_tokens(&self, mean_tokens: f64, report_lag: Millis) -> f64 {
+        let own: u64 = self.sent.iter().map(|(_, tokens, _)| tokens).sum();
+        let Some(report) = &self.report else {
+            return own as f64;
+        };
+        let seen_at = report.at - report_lag;
+        let since = self.sent.iter().filter(|(_, _, at)| *at > seen_at);
+        let since: u64 = since.map(|(_, tokens, _)| tokens).sum();
+        (own as f64).max(report.queued as f64 * mean_tokens + since as f64)
+    }
+}
