--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod id;
 pub mod membership;
+pub mod placement;
 pub mod template;
 pub mod time;
