Give each peer contract test its own loopback address

Cause: two tests in parallel asked the system for free ports on 127.0.0.1 and one instance got a port that another had asked for; its operators' listener answered 401 instead of the peers' WebSocket. Ruled out: a fault of the peers' listener. Change: the tests use the harness's own loopback address per instance.

--- a/damaskdrift/tests/peer.rs
+++ b/damaskdrift/tests/peer.rs
@@ -4,6 +4,7 @@
 use std::process;
 use std::time::Duration;
 
+use damaskdrift_lab::harness::address;
 use futures_util::{SinkExt as _, StreamExt as _};
 use rstest::rstest;
 use serde_json::json;
@@ -33,7 +34,9 @@
 impl Instance {
     fn start() -> Self {
         let dir = tempfile::tempdir().expect("a temporary folder");
-        let ports: Vec<_> = (0..5).map(|_| free_address()).collect();
+        let ip = address::own_ip();
+        let free = |_| address::free_port(ip).expect("a free port");
+        let ports: Vec<_> = (0..5).map(free).collect();
         let token = dir.path().join("token");
         std::fs::write(&token, "operators").expect("the folder is writable");
         let settings = format!(
@@ -90,11 +93,6 @@
     }
 }
 
-fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound listener has an address")
-}
-
 fn hello(protocol: u16) -> serde_json::Value {
     let sender = json!({"instance": "i2", "failure_domain": "south", "boot": "b2"});
     let mut hello = json!({"Hello": sender});
--- a/damaskdrift_lab/src/standin/mod.rs
+++ b/damaskdrift_lab/src/standin/mod.rs
@@ -6,7 +6,6 @@
 pub mod instances;
 pub mod key_value;
 pub mod link;
-pub mod server;
 pub mod service;
 pub mod store;
 pub mod weights;
