Divide upstream limits among the instances

Cause: every instance took as many slots at an upstream as it liked, because control::slots was a placeholder. Change: leases of the key-value service name one limit owner a group; owners read load reports and answer demands of all instances; a lost connection drops only the own allotment, since a fault of one instance's link must not cool the upstream for all. Ruled out: waiting for all groups' replies before the next round, because one dead owner then delays the demands of every group. Measured: not yet; the process test follows when the harness starts engines with a cold limit.

--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -85,7 +85,8 @@
     async fn attempt(&self, target: upstream::Target) -> Result<warp::reply::Response, Refusal> {
         let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
         let slot = slots::acquire(&self.cx, &target.id, wait).await?;
-        let mut conn = self.cx.upstreams.connect(&target, slot.boot.as_ref()).await?;
+        let connected = self.cx.upstreams.connect(&target, slot.boot.as_ref()).await;
+        let mut conn = connected.inspect_err(|_| slots::lost(&self.cx, &target.id))?;
         let secret = &self.caller.fleet.document.secret;
         let request = request_id::generate(secret, &self.caller.workspace, &target.id);
         let req = self.request(&request);
--- a/damaskdrift/src/caller/relay.rs
+++ b/damaskdrift/src/caller/relay.rs
@@ -111,7 +111,7 @@
                 Ok(None) => broken("the stream ended early"),
                 Err(failure) => failure,
             };
-            slots::trouble(&self.cx, &self.stream.target.id);
+            slots::lost(&self.cx, &self.stream.target.id);
             self.reconnect(failure).await?;
         }
     }
--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -12,7 +12,7 @@
 use damaskdrift_core::time::{Millis, UnixMillis};
 use tokio::sync::watch;
 
-use crate::control::{heartbeat, lifecycle, sync as config, tasks};
+use crate::control::{heartbeat, lifecycle, slots, sync as config, tasks};
 use crate::peer;
 use crate::platform::{instance_list, key_value};
 use crate::settings;
@@ -38,6 +38,8 @@
     pub pauses: watch::Sender<u64>,
     /// Client of the key-value service.
     pub key_value: key_value::Client,
+    /// Slots at upstreams.
+    pub slots: slots::Slots,
     /// Connections to upstreams.
     pub upstreams: upstream::Pool,
     /// How far the life of the instance has come.
@@ -61,6 +63,7 @@
         sync::Arc::new(Self {
             key_value: key_value::Client::new(settings.platform.key_value, timeout),
             instance_list: instance_list::Client::new(settings.platform.instance_list, timeout),
+            slots: slots::Slots::new(settings.limits.fleet_max),
             upstreams: upstream::Pool::new(&settings.limits),
             lifecycle: lifecycle::Signal::default(),
             tasks: tasks::Tasks::default(),
--- a/damaskdrift/src/control/mod.rs
+++ b/damaskdrift/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod freshness;
 pub mod heartbeat;
+pub mod lease;
 pub mod lifecycle;
 pub mod observe;
 pub mod roster;
--- /dev/null
+++ b/damaskdrift/src/control/slots/mod.rs
@@ -0,0 +1,159 @@
+//! Grants slots at upstreams, so that their limits hold over all instances.
+
+mod ask;
+mod load;
+mod owned;
+
+use std::collections;
+use std::sync;
+use std::time::Duration;
+
+use damaskdrift_core::admission;
+use damaskdrift_core::code;
+use damaskdrift_core::fleet;
+use damaskdrift_core::id;
+use tokio::sync::Notify;
+use tokio::time;
+
+use crate::context;
+use crate::peer;
+
+/// Slots of this instance and the groups it owns.
+#[derive(Debug)]
+pub struct Slots {
+    holder: sync::Mutex<admission::Holder>,
+    /// Wakes requests that wait for a slot, by upstream.
+    freed: sync::Mutex<collections::HashMap<id::Upstream, sync::Arc<Notify>>>,
+    /// Wakes the loop that asks the owners.
+    wanted: Notify,
+    owned: owned::Owned,
+    owners: ask::Owners,
+}
+
+/// The right to have one request in flight at an upstream, returned when dropped.
+pub struct Slot {
+    /// The start of the upstream the slot is bound to; `None` accepts any.
+    pub boot: Option<id::Boot>,
+    cx: sync::Arc<context::Context>,
+    upstream: id::Upstream,
+}
+
+impl Slots {
+    /// Creates the slots of an instance that holds none.
+    pub fn new(fleet_max: u32) -> Self {
+        Self {
+            holder: sync::Mutex::new(admission::Holder::new(fleet_max)),
+            freed: sync::Mutex::default(),
+            wanted: Notify::new(),
+            owned: owned::Owned::default(),
+            owners: ask::Owners::default(),
+        }
+    }
+
+    fn holder(&self) -> sync::MutexGuard<'_, admission::Holder> {
+        self.holder.lock().expect("no thread panics while it holds the lock")
+    }
+
+    fn freed(&self, upstream: &id::Upstream) -> sync::Arc<Notify> {
+        let mut freed = self.freed.lock().expect("no thread panics while it holds the lock");
+        freed.entry(upstream.clone()).or_default().clone()
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.cx.slots.holder().release(&self.upstream);
+        self.cx.slots.freed(&self.upstream).notify_one();
+    }
+}
+
+/// Starts the loops that ask owners, hold leases and read load reports.
+pub fn start(cx: &sync::Arc<context::Context>) {
+    cx.peers.register(peer::Topic::Allotment, owned::handle_demands);
+    cx.peers.register(peer::Topic::InFlight, owned::handle_in_flight);
+    tokio::spawn(ask::run(cx.clone()));
+    tokio::spawn(owned::run(cx.clone()));
+    tokio::spawn(load::run(cx.clone()));
+}
+
+/// Gives up the leases of owned groups, so that other instances can take them at once.
+pub async fn release_leases(cx: &context::Context) {
+    owned::release(cx).await;
+}
+
+/// Waits for a slot at an upstream.
+///
+/// # Errors
+///
+/// Returns the code of the refusal when no slot becomes free in time.
+pub async fn acquire(
+    cx: &sync::Arc<context::Context>,
+    upstream: &id::Upstream,
+    wait: Duration,
+) -> Result<Slot, code::Code> {
+    if let Some(slot) = try_acquire(cx, upstream) {
+        return Ok(slot);
+    }
+    cx.slots.holder().wait(upstream, 1, cx.now());
+    cx.slots.wanted.notify_one();
+    let waited = time::timeout(wait, wait_for_slot(cx, upstream)).await;
+    cx.slots.holder().wait(upstream, -1, cx.now());
+    metrics::counter!("slots_waited", "granted" => waited.is_ok().to_string()).increment(1);
+    waited.map_err(|_| code::Code::Overloaded)
+}
+
+/// Returns the free slots of this instance at an upstream.
+pub fn available(cx: &context::Context, upstream: &id::Upstream) -> u32 {
+    cx.slots.holder().available(upstream, cx.now())
+}
+
+/// Notes that an upstream completed an answer under a boot id.
+pub fn completed(cx: &context::Context, upstream: &id::Upstream, boot: &id::Boot) {
+    cx.slots.holder().complete(upstream, boot);
+}
+
+/// Notes that a connection to an upstream broke or that it has restarted.
+///
+/// The allotment is dropped here only: the other instances' allotments are bound to the start of
+/// the upstream, and a broken connection may be this instance's own fault.
+pub fn lost(cx: &context::Context, upstream: &id::Upstream) {
+    log::warn!(upstream:%; "connection to upstream lost; its slots are dropped");
+    cx.slots.holder().drop_allotment(upstream);
+    cx.slots.wanted.notify_one();
+}
+
+/// Notes that an upstream slowed down sharply, so that its owner falls back to the cold limit.
+pub fn slowed(cx: &context::Context, upstream: &id::Upstream) {
+    log::warn!(upstream:%; "upstream slowed down sharply; its limit falls back");
+    cx.slots.holder().trouble(upstream);
+    cx.slots.wanted.notify_one();
+}
+
+async fn wait_for_slot(cx: &sync::Arc<context::Context>, upstream: &id::Upstream) -> Slot {
+    let freed = cx.slots.freed(upstream);
+    loop {
+        let notified = freed.notified();
+        tokio::pin!(notified);
+        // Registered before the try, so that a slot freed in between is not missed.
+        notified.as_mut().enable();
+        if let Some(slot) = try_acquire(cx, upstream) {
+            return slot;
+        }
+        notified.await;
+    }
+}
+
+fn try_acquire(cx: &sync::Arc<context::Context>, upstream: &id::Upstream) -> Option<Slot> {
+    let slot = cx.slots.holder().acquire(upstream, cx.now()).ok()?;
+    let boot = slot.boot.filter(|boot| boot.as_str() != load::SERVICE_BOOT);
+    Some(Slot { boot, cx: cx.clone(), upstream: upstream.clone() })
+}
+
+/// Returns the limits of an upstream, cold and warm; a store has none.
+fn limits(kind: &fleet::Kind) -> Option<(u32, u32)> {
+    match kind {
+        fleet::Kind::Engine { cold_limit, warm_limit, .. } => Some((*cold_limit, *warm_limit)),
+        fleet::Kind::Service { limit, .. } => Some((*limit, *limit)),
+        fleet::Kind::Store => None,
+    }
+}
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -1,5 +1,6 @@
 //! Messages between instances, encoded as CBOR in binary WebSocket frames.
 
+use damaskdrift_core::admission;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
 use damaskdrift_core::time::Millis;
@@ -120,24 +121,7 @@
     /// The group of upstreams.
     pub group: u16,
     /// One entry an upstream.
-    pub entries: Vec<Demand>,
-}
-
-/// What an instance has and wants at one upstream.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Demand {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// The start of the upstream the instance knows.
-    pub boot: id::Boot,
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Slots wanted, those in flight included.
-    pub wanted: u32,
-    /// Answers completed since the last request.
-    pub completed: u32,
-    /// Whether the upstream broke a connection or slowed down sharply since the last request.
-    pub trouble: bool,
+    pub entries: Vec<admission::Demand>,
 }
 
 /// Slots granted for the upstreams of a group.
@@ -146,20 +130,7 @@
     /// Fencing number of the owner's lease.
     pub fencing: id::FencingToken,
     /// One entry an upstream.
-    pub entries: Vec<Allotment>,
-}
-
-/// Slots granted at one upstream.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Allotment {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// The start of the upstream the slots are bound to.
-    pub boot: id::Boot,
-    /// Slots, those in flight included.
-    pub slots: u32,
-    /// The present limit over all instances.
-    pub limit: u32,
+    pub entries: Vec<admission::Grant>,
 }
 
 /// Requests in flight at one upstream.
--- a/damaskdrift/src/peer/mod.rs
+++ b/damaskdrift/src/peer/mod.rs
@@ -15,7 +15,7 @@
 use tokio::time;
 
 pub use error::Error;
-pub use handlers::{Handler, Topic};
+pub use handlers::{Handler, Replying, Topic};
 pub use listener::start;
 
 use crate::context;
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -79,6 +79,7 @@
     }
     let draining = serving.drain();
     draining.finish(finish(&cx, callers)).await;
+    control::slots::release_leases(&cx).await;
     stop.cancel();
     // The listener ends by itself; a panic in it was printed when it happened.
     let _ = operators.await;
@@ -122,5 +123,6 @@
     tokio::spawn(control::roster::run(cx.clone()));
     tokio::spawn(control::heartbeat::run(cx.clone()));
     tokio::spawn(control::sync::run(cx.clone()));
+    control::slots::start(cx);
     Ok(())
 }
--- a/damaskdrift/src/upstream/connection.rs
+++ b/damaskdrift/src/upstream/connection.rs
@@ -47,12 +47,20 @@
     host: header::HeaderValue,
 }
 
-/// The part of `/v1/load` that binds a connection.
-#[derive(Deserialize)]
-struct Load {
-    boot_id: id::Boot,
+/// An engine's report of its load.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Load {
+    /// The start of the engine.
+    pub boot_id: id::Boot,
+    /// Whether it is in a cold start.
     #[serde(default)]
-    cold: bool,
+    pub cold: bool,
+    /// Requests running.
+    #[serde(default)]
+    pub running: u32,
+    /// Requests queued.
+    #[serde(default)]
+    pub queued: u32,
 }
 
 impl Timeouts {
@@ -184,6 +192,22 @@
     }
 }
 
+/// Reads an engine's load report over a connection of its own.
+///
+/// # Errors
+///
+/// Returns why there is no report.
+pub async fn read_load(address: net::SocketAddr, timeouts: Timeouts) -> Result<Load, Failure> {
+    let exchange = async {
+        let mut conn = Connection::establish(address, false).await?;
+        conn.read_load().await
+    };
+    tokio::time::timeout(timeouts.connect, exchange).await.unwrap_or_else(|_| {
+        let message = format!("no load report of {address} in time");
+        Err(Failure::unsent(code::Code::UpstreamTimeout, message))
+    })
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/damaskdrift/src/upstream/mod.rs
+++ b/damaskdrift/src/upstream/mod.rs
@@ -9,6 +9,6 @@
 
 pub use body::{next_piece, read_all};
 pub use choose::rank;
-pub use connection::Connection;
+pub use connection::{Connection, read_load};
 pub use failure::Failure;
 pub use pool::{Pool, Target};
--- a/damaskdrift_core/src/admission/holder.rs
+++ b/damaskdrift_core/src/admission/holder.rs
@@ -153,7 +153,14 @@
         }
     }
 
-    /// Drops the allotment of an upstream that gave trouble.
+    /// Drops the allotment of an upstream whose connection was lost.
+    pub fn drop_allotment(&mut self, upstream: &id::Upstream) {
+        if let Some(entry) = self.entries.get_mut(upstream) {
+            entry.drop_allotment();
+        }
+    }
+
+    /// Drops the allotment of an upstream that slowed down sharply, and tells its owner.
     pub fn trouble(&mut self, upstream: &id::Upstream) {
         if let Some(entry) = self.entries.get_mut(upstream) {
             entry.drop_allotment();
