--- a/damaskdrift_lab/src/proxy/link.rs
+++ b/damaskdrift_lab/src/proxy/link.rs
@@ -17,6 +17,9 @@
 /// Pause before the address is bound again after a failure.
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
 
+/// Longest wait until a link follows a new mode.
+const FOLLOW_LIMIT: Duration = Duration::from_secs(1);
+
 /// A listener and the address to which it forwards connections.
 #[derive(Clone, Debug)]
 pub struct Link {
@@ -49,11 +52,19 @@
     pub answer_bytes: u64,
 }
 
+/// What a link has open.
+#[derive(Clone, Copy, Debug, Default)]
+struct Open {
+    is_listening: bool,
+    connections: usize,
+}
+
 #[derive(Debug)]
 struct Shared {
     listen: net::SocketAddr,
     to: net::SocketAddr,
     mode: watch::Sender<Mode>,
+    open: watch::Sender<Open>,
     connections: AtomicU64,
     request: Pace,
     answer: Pace,
@@ -79,6 +90,7 @@
             listen: listener.local_addr().map_err(fault)?,
             to,
             mode: watch::Sender::new(Mode::PASS),
+            open: watch::Sender::new(Open { is_listening: true, connections: 0 }),
             connections: AtomicU64::new(0),
             request: Pace::new(),
             answer: Pace::new(),
@@ -88,9 +100,18 @@
         Ok(link)
     }
 
-    /// Sets the mode; open connections follow it at once.
-    pub fn set_mode(&self, mode: Mode) {
+    /// Sets the mode and waits until the listener and the open connections follow it.
+    pub async fn set_mode(&self, mode: Mode) {
         self.shared.mode.send_replace(mode);
+        let follows = |open: &Open| match mode.kind {
+            Kind::Cut => !open.is_listening && open.connections == 0,
+            Kind::Pass | Kind::Blackhole => open.is_listening,
+        };
+        let mut rx = self.shared.open.subscribe();
+        let follows = time::timeout(FOLLOW_LIMIT, rx.wait_for(follows)).await;
+        if follows.is_err() {
+            eprintln!("the link at {} does not follow its mode yet", self.shared.listen);
+        }
     }
 
     /// Returns the state and counts.
@@ -147,12 +168,14 @@
 
     /// Accepts connections until the link is cut, which closes the listener.
     async fn accept_until_cut(&self, listener: TcpListener) {
+        self.shared.open.send_modify(|open| open.is_listening = true);
         loop {
             tokio::select! {
-                _ = self.wait_for(|mode| mode.kind == Kind::Cut) => return,
+                _ = self.wait_for(|mode| mode.kind == Kind::Cut) => break,
                 accepted = listener.accept() => match accepted {
                     Ok((client, _)) => {
                         self.shared.connections.fetch_add(1, Ordering::Relaxed);
+                        self.shared.open.send_modify(|open| open.connections += 1);
                         tokio::spawn(self.clone().connection(client));
                     }
                     Err(error) => {
@@ -162,6 +185,8 @@
                 },
             }
         }
+        drop(listener);
+        self.shared.open.send_modify(|open| open.is_listening = false);
     }
 
     async fn connection(self, client: TcpStream) {
@@ -175,6 +200,7 @@
             // A broken connection is closed on both sides, which is all that can be passed on.
             _ = forward => {}
         }
+        self.shared.open.send_modify(|open| open.connections -= 1);
     }
 
     async fn wait_for(&self, accept: impl FnMut(&Mode) -> bool) -> Mode {
