--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -1,15 +1,22 @@
 //! State shared by all parts of a running instance.
 
+use std::collections;
 use std::sync;
 use std::time;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
+use damaskdrift_core::membership;
 use damaskdrift_core::time::{Millis, UnixMillis};
+use tokio::sync::watch;
 
-use crate::platform::key_value;
+use crate::control::{heartbeat, lifecycle, sync as config, tasks};
+use crate::peer;
+use crate::platform::{instance_list, key_value};
 use crate::settings;
+use crate::upstream;
 
 /// State shared by all parts of a running instance.
 pub struct Context {
@@ -19,8 +26,27 @@
     pub boot: id::Boot,
     /// The installed configuration; revision 0 means none.
     pub fleet: ArcSwap<fleet::Snapshot>,
+    /// The installed configuration's confirmations.
+    pub sync: config::Sync,
+    /// Connections to other instances.
+    pub peers: peer::Peers,
+    /// Vetoed moves that this instance knows.
+    pub vetoes: heartbeat::Vetoes,
+    /// Upstreams that the platform lists as leaving.
+    pub leaving_upstreams: ArcSwap<collections::BTreeSet<id::Upstream>>,
+    /// Counts pauses of the process; leases and allotments from before a pause are lost.
+    pub pauses: watch::Sender<u64>,
     /// Client of the key-value service.
     pub key_value: key_value::Client,
+    /// Connections to upstreams.
+    pub upstreams: upstream::Pool,
+    /// How far the life of the instance has come.
+    pub lifecycle: lifecycle::Signal,
+    /// Streams and recordings that a stopping instance finishes first.
+    pub tasks: tasks::Tasks,
+    /// Client of the instance list.
+    pub instance_list: instance_list::Client,
+    membership: sync::Mutex<membership::Membership>,
     started: time::Instant,
 }
 
@@ -28,13 +54,25 @@
     /// Creates the context of a new instance.
     pub fn new(settings: settings::Settings) -> sync::Arc<Self> {
         let boot = id::Boot::new(&format!("{:016x}", rand::random::<u64>()));
-        let timeout = time::Duration::from_millis(settings.platform.timeout_ms);
-        let key_value = key_value::Client::new(settings.platform.key_value, timeout);
+        let timeout = Duration::from_millis(settings.platform.timeout_ms);
+        let instance = &settings.instance;
+        let membership =
+            membership::Membership::new(instance.id.clone(), instance.failure_domain.clone());
         sync::Arc::new(Self {
+            key_value: key_value::Client::new(settings.platform.key_value, timeout),
+            instance_list: instance_list::Client::new(settings.platform.instance_list, timeout),
+            upstreams: upstream::Pool::new(&settings.limits),
+            lifecycle: lifecycle::Signal::default(),
+            tasks: tasks::Tasks::default(),
             settings,
             boot,
             fleet: ArcSwap::default(),
-            key_value,
+            sync: config::Sync::default(),
+            peers: peer::Peers::default(),
+            vetoes: heartbeat::Vetoes::default(),
+            leaving_upstreams: ArcSwap::default(),
+            pauses: watch::Sender::new(0),
+            membership: sync::Mutex::new(membership),
             started: time::Instant::now(),
         })
     }
@@ -44,6 +82,16 @@
         self.started.elapsed().into()
     }
 
+    /// Locks the view of the fleet; not held across an await.
+    pub fn membership(&self) -> sync::MutexGuard<'_, membership::Membership> {
+        self.membership.lock().expect("no thread panics while it holds the lock")
+    }
+
+    /// Returns the age above which the configuration counts as unconfirmed.
+    pub fn freshness_limit(&self) -> Millis {
+        Millis(self.settings.limits.freshness_limit_ms)
+    }
+
     /// Returns the wall-clock time.
     pub fn unix_now() -> UnixMillis {
         let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
--- a/damaskdrift/src/control/mod.rs
+++ b/damaskdrift/src/control/mod.rs
@@ -1,5 +1,11 @@
 //! Background loops and the decisions they keep up to date.
 
 pub mod freshness;
+pub mod heartbeat;
+pub mod lifecycle;
 pub mod observe;
+pub mod roster;
 pub mod slots;
+pub mod spread;
+pub mod sync;
+pub mod tasks;
