Test a whole fleet on loopback

Cause: nothing showed that instances, engines and stand-ins work together, directly and through the fault proxy.

Change: tests that start three instances in three failure domains, stream prompts and compare every byte, isolate an instance, and restart one after a kill and after a stop.

--- /dev/null
+++ b/damaskdrift_lab/tests/fleet.rs
@@ -0,0 +1,88 @@
+//! Tests of a whole fleet on loopback: start, links between its parts, restarts and stops.
+
+use std::time::Duration;
+
+use damaskdrift_lab::harness::fleet::{KEY, MODEL, OTHER_KEY, VERSION};
+use damaskdrift_lab::harness::{Builder, Fleet, Instance};
+use damaskdrift_lab::proxy::Mode;
+use damaskdrift_lab::standin::engine::text;
+use hyper::Method;
+use rstest::rstest;
+use serde_json::json;
+
+/// Longest wait for a change of readiness or the end of a process.
+const LIMIT: Duration = Duration::from_secs(15);
+/// Length of an answer, in tokens.
+const TOKENS: usize = 8;
+
+async fn start(builder: Builder) -> Fleet {
+    builder.start().await.expect("the fleet starts")
+}
+
+/// Streams a prompt and returns the status, the request id and the text of the answer.
+async fn prompt(fleet: &Fleet, instance: &Instance, key: &str) -> (u16, String, Vec<String>) {
+    let body = json!({"model": MODEL, "prompt": "hello", "max_tokens": TOKENS, "stream": true});
+    let call = instance.call(Method::POST, "/v1/completions", key).with_json(&body);
+    let mut stream = fleet.http.stream(call).await.expect("the instance answers");
+    let request = stream.header("x-request-id").unwrap_or_default().to_owned();
+    let mut events = Vec::new();
+    while let Some(event) = stream.next_event().await.expect("the stream is complete") {
+        events.push(event);
+    }
+    (stream.status, request, events)
+}
+
+/// Guards against a fleet whose parts do not find each other: every instance must serve every
+/// workspace, whichever links lie between.
+#[rstest]
+#[case::direct(Fleet::builder())]
+#[case::through_links(Fleet::builder().with_key_value_links().with_upstream_links().with_peer_links())]
+#[tokio::test]
+async fn fleet_serves_prompts(#[case] builder: Builder) {
+    let domains = ["a", "b", "c"];
+    let builder = builder.with_failure_domains(&domains).with_instances(3);
+    let fleet = start(builder.with_engines(3)).await;
+    for instance in &fleet.instances {
+        for key in [KEY, OTHER_KEY] {
+            let (status, request, events) = prompt(&fleet, instance, key).await;
+            assert_eq!(status, 200, "{events:?}");
+            let words = text::words(MODEL, VERSION, "hello", TOKENS);
+            let body = text::sse_body(&request, &words);
+            let want = String::from_utf8_lossy(&body).replace("data: ", "");
+            assert_eq!(events.join("\n\n") + "\n\n", want);
+        }
+    }
+}
+
+/// Guards against an instance that cannot start again after it was killed or stopped.
+#[rstest]
+#[case::killed(false)]
+#[case::stopped(true)]
+#[tokio::test]
+async fn instance_serves_again_after_a_restart(#[case] is_stopped: bool) {
+    let mut fleet = start(Fleet::builder().with_setting("drain", "accept_ms", 100)).await;
+    let instance = &mut fleet.instances[0];
+    if is_stopped {
+        instance.process.terminate().expect("the instance runs");
+        let code = instance.process.wait(LIMIT).await.expect("the instance stops");
+        assert_eq!(code, 0, "{}", instance.process.log());
+    }
+    instance.restart().expect("the instance starts");
+    instance.wait_ready(LIMIT).await.expect("the instance is ready");
+    assert_eq!(prompt(&fleet, &fleet.instances[0], KEY).await.0, 200);
+}
+
+/// Guards against links that do not isolate the instance they belong to, or isolate another.
+#[tokio::test]
+async fn isolation_reaches_one_instance() {
+    let builder = Fleet::builder().with_failure_domains(&["a", "b", "c"]).with_instances(3);
+    let mut fleet = start(builder.with_key_value_links().with_peer_links()).await;
+    fleet.set_isolation(0, Mode::BLACKHOLE).await.expect("the mode is accepted");
+    fleet.instances[0].wait_unready(LIMIT).await.expect("the isolated instance stops new work");
+    for instance in &fleet.instances[1..] {
+        assert!(instance.is_ready().await.expect("the instance answers"));
+        assert_eq!(prompt(&fleet, instance, KEY).await.0, 200);
+    }
+    fleet.set_isolation(0, Mode::PASS).await.expect("the mode is accepted");
+    fleet.wait_ready(LIMIT).await.expect("all instances are ready again");
+}
