--- a/damaskdrift_lab/src/harness/fleet.rs
+++ b/damaskdrift_lab/src/harness/fleet.rs
@@ -247,7 +247,7 @@
         let mut engines = Vec::new();
         for index in 0..self.engines {
             let name = format!("engine-{index}");
-            engines.push(Standin::start("engine", &name, &self.engine_args, path, &http).await?);
+            engines.push(Standin::start("engine", &name, &self.engine_args(), path, &http).await?);
         }
         let mut services = Vec::new();
         for index in 0..self.services {
@@ -289,6 +289,13 @@
         &self.domains[index % self.domains.len()]
     }
 
+    fn engine_args(&self) -> Vec<String> {
+        let cold_limit = self.cold_limit.to_string();
+        let fixed = ["--model", MODEL, "--version", VERSION, "--cold-limit", &cold_limit];
+        let fixed = fixed.into_iter().map(str::to_owned);
+        fixed.chain(self.engine_args.iter().cloned()).collect()
+    }
+
     fn entries(&self, listeners: &[Listeners]) -> Vec<Entry> {
         let entry = |(index, listen): (usize, &Listeners)| Entry {
             id: id::Instance::new(&format!("entry-{index}")),
