Use the core's block life cycle in the engine stand-in

Cause: the stand-ins had their own manifest and checks, and the load report did not show prompts that wait inside the batch. Change: the engine writes, pins and checks blocks with the core's typestate; queued counts all requests without a first token.

--- a/damaskdrift_lab/src/standin/engine/batch.rs
+++ b/damaskdrift_lab/src/standin/engine/batch.rs
@@ -97,14 +97,14 @@
 }
 
 impl Batch {
-    /// Returns the number of requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
+    /// Returns the number of requests that wait for their first token.
+    pub fn queued(&self) -> usize {
+        self.in_flight() - self.decoding()
     }
 
-    /// Returns the number of requests that run.
-    pub fn running(&self) -> usize {
-        self.running.len()
+    /// Returns the number of requests that have their first token.
+    pub fn decoding(&self) -> usize {
+        self.running.values().filter(|job| job.is_decoding()).count()
     }
 
     /// Returns the number of requests that wait or run.
@@ -197,7 +197,7 @@
     }
 
     fn decode(&mut self, cfg: &options::Options, seconds: f64) {
-        let count = self.running.values().filter(|job| job.is_decoding()).count().max(1);
+        let count = self.decoding().max(1);
         let shared = budget(cfg.decode_rate, seconds) / count as f64;
         let each = budget(cfg.decode_rate_each, seconds).min(shared);
         for job in self.running.values_mut() {
--- a/damaskdrift_lab/src/standin/engine/state.rs
+++ b/damaskdrift_lab/src/standin/engine/state.rs
@@ -77,9 +77,9 @@
     pub version: String,
     /// Whether the engine is in a cold start.
     pub cold: bool,
-    /// Requests in the batch.
+    /// Requests that have their first token.
     pub running: usize,
-    /// Requests that wait.
+    /// Requests that wait for their first token, whether in the batch or not.
     pub queued: usize,
     /// Prompt tokens that the batch computes a second.
     pub prefill_tokens_per_s: f64,
@@ -367,8 +367,8 @@
             boot_id: boot.to_owned(),
             version: self.version.clone(),
             cold: self.is_cold(now),
-            running: self.batch.running(),
-            queued: self.batch.waiting(),
+            running: self.batch.decoding(),
+            queued: self.batch.queued(),
             prefill_tokens_per_s: rate / slowdown,
             cached_blocks: self.cache.len(),
         };
--- a/damaskdrift_lab/src/standin/engine/transfer.rs
+++ b/damaskdrift_lab/src/standin/engine/transfer.rs
@@ -1,18 +1,18 @@
 //! Export of KV cache blocks to a store and import from it.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use damaskdrift_core::block;
+use damaskdrift_core::block::{self, Block};
+use damaskdrift_core::time::Millis;
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::standin::client;
 use crate::standin::engine::state;
-use crate::standin::store::tier;
 
-/// Life of the pin that protects a block during its transfer, in milliseconds.
-const PIN_TTL_MS: u64 = 10_000;
+/// Life of the pin that protects a block during its transfer.
+const PIN_TTL: Millis = Millis::from_secs(10);
 
 /// Asks for blocks to be exported or imported.
 #[derive(Debug, Deserialize)]
@@ -99,12 +99,13 @@
     }
     let data = contents(key, engine.cfg.block_bytes);
     let generation = next_generation();
+    let mut writing = Block::new(*key, generation);
+    writing.append(&data);
     let url = format!("http://{store}/v1/blocks/{key}?generation={generation}");
     let (status, _) = client.call(Method::PUT, &url, data.clone()).await?;
     expect_ok(status)?;
-    let checksum = blake3::hash(&data).to_hex().to_string();
-    let manifest = tier::Manifest { generation, bytes: data.len(), checksum };
-    let (status, _) = client.post_json(&manifest_url, &manifest).await?;
+    let sealed = writing.seal();
+    let (status, _) = client.post_json(&manifest_url, sealed.manifest()).await?;
     expect_ok(status)?;
     Ok(data.len() as u64)
 }
@@ -117,19 +118,19 @@
     let url = format!("http://{store}/v1/manifests/{key}");
     let (status, body) = client.call(Method::GET, &url, Bytes::new()).await?;
     expect_ok(status)?;
-    let manifest: tier::Manifest =
+    let manifest: block::Manifest =
         serde_json::from_slice(&body).map_err(|error| error.to_string())?;
-    let generation = manifest.generation;
-    let url = format!("http://{store}/v1/pins/{key}?generation={generation}&ttl_ms={PIN_TTL_MS}");
+    let sealed = Block::with_manifest(*key, manifest);
+    let (generation, ttl) = (sealed.generation(), PIN_TTL.0);
+    let started = Instant::now();
+    let url = format!("http://{store}/v1/pins/{key}?generation={generation}&ttl_ms={ttl}");
     let (status, _) = client.call(Method::POST, &url, Bytes::new()).await?;
     expect_ok(status)?;
+    let pinned = sealed.pin(Millis(0), PIN_TTL);
     let url = format!("http://{store}/v1/blocks/{key}?generation={generation}");
     let (status, data) = client.call(Method::GET, &url, Bytes::new()).await?;
     expect_ok(status)?;
-    let is_whole = data.len() == manifest.bytes;
-    if !is_whole || blake3::hash(&data).to_hex().as_str() != manifest.checksum {
-        return Err("the checksum does not match".to_owned());
-    }
+    pinned.check(&data, started.elapsed().into()).map_err(|doubt| doubt.to_string())?;
     Ok(data)
 }
 
--- a/damaskdrift_lab/src/standin/store/http.rs
+++ b/damaskdrift_lab/src/standin/store/http.rs
@@ -110,7 +110,7 @@
         .and(warp::post())
         .and(with.clone())
         .and(warp::body::json())
-        .map(|key: block::Key, store: Shared, manifest: tier::Manifest| {
+        .map(|key: block::Key, store: Shared, manifest: block::Manifest| {
             let sealed = store.lock().seal(&key, manifest);
             sealed.map_or_else(refused, |()| warp::reply::json(&json!({})).into_response())
         });
--- a/damaskdrift_lab/src/standin/store/tier.rs
+++ b/damaskdrift_lab/src/standin/store/tier.rs
@@ -5,23 +5,10 @@
 
 use bytes::Bytes;
 use damaskdrift_core::block;
-use serde::{Deserialize, Serialize};
 
 /// Longest life of a pin.
 const MAX_PIN: Duration = Duration::from_secs(60);
 
-/// Seals a block; written last.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Manifest {
-    /// Generation of the block.
-    pub generation: u64,
-    /// Length of the block in bytes.
-    pub bytes: usize,
-    /// BLAKE3 hash of the block in hexadecimal.
-    pub checksum: String,
-}
-
 /// Why a call was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -46,7 +33,7 @@
 struct Stored {
     generation: u64,
     data: Bytes,
-    manifest: Option<Manifest>,
+    manifest: Option<block::Manifest>,
     used: u64,
     on_disk: bool,
     pinned_until: Option<Instant>,
@@ -108,9 +95,9 @@
     /// # Errors
     ///
     /// Returns a conflict when no whole block of that generation is there.
-    pub fn seal(&mut self, key: &block::Key, manifest: Manifest) -> Result<(), Refusal> {
+    pub fn seal(&mut self, key: &block::Key, manifest: block::Manifest) -> Result<(), Refusal> {
         let stored = self.blocks.get_mut(key).ok_or(Refusal::Conflict)?;
-        if stored.generation != manifest.generation || stored.data.len() != manifest.bytes {
+        if stored.generation != manifest.generation || stored.data.len() as u64 != manifest.bytes {
             return Err(Refusal::Conflict);
         }
         stored.manifest = Some(manifest);
@@ -118,7 +105,7 @@
     }
 
     /// Returns the manifest of a sealed block.
-    pub fn manifest(&self, key: &block::Key) -> Option<&Manifest> {
+    pub fn manifest(&self, key: &block::Key) -> Option<&block::Manifest> {
         self.blocks.get(key)?.manifest.as_ref()
     }
 
