--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -1,9 +1,12 @@
 //! Decisions of damaskdrift: no input, output, clock or global state.
 
+pub mod admission;
 pub mod block;
 pub mod code;
+pub mod config_sync;
 pub mod fleet;
 pub mod id;
+pub mod membership;
 pub mod placement;
 pub mod template;
 pub mod time;
