Serve the engine, store and weight stand-ins through the shared listener

Cause: the lab had two listeners for stand-ins. Change: the second one is gone; an export offer names its store.

--- a/damaskdrift_core/src/placement/export.rs
+++ b/damaskdrift_core/src/placement/export.rs
@@ -16,6 +16,8 @@
 pub struct Offer {
     /// The engine.
     pub upstream: id::Upstream,
+    /// The store.
+    pub store: id::Upstream,
     /// The blocks to export in the order of their chain.
     pub blocks: Vec<block::Key>,
     /// Chance that a prompt with this chain comes again.
--- a/damaskdrift_core/tests/placement.rs
+++ b/damaskdrift_core/tests/placement.rs
@@ -322,6 +322,7 @@
 fn exports_follow_priority() {
     let offer = |return_chance: f64, prefill_secs: f64, bytes: u64| Offer {
         upstream: id::Upstream::new("e"),
+        store: id::Upstream::new("s"),
         blocks: keys(1, 0),
         return_chance,
         prefill_secs,
--- a/damaskdrift_lab/src/standin/engine/http.rs
+++ b/damaskdrift_lab/src/standin/engine/http.rs
@@ -68,10 +68,7 @@
 }
 
 /// Returns all routes of the stand-in.
-pub fn routes(
-    engine: Shared,
-) -> impl Filter<Extract = (Response,), Error = convert::Infallible> + Clone + Send + Sync + 'static
-{
+pub fn routes(engine: Shared) -> Routes {
     let shared = engine.clone();
     let with = warp::any().map(move || shared.clone());
     completions(with.clone().boxed())
@@ -90,6 +87,7 @@
         })
         .unify()
         .map(move |response| stamp(&engine, response))
+        .boxed()
 }
 
 type With = warp::filters::BoxedFilter<(Shared,)>;
--- a/damaskdrift_lab/src/standin/engine/mod.rs
+++ b/damaskdrift_lab/src/standin/engine/mod.rs
@@ -15,7 +15,7 @@
 use std::process;
 
 use crate::error::Error;
-use crate::standin;
+use crate::server;
 
 /// Runs the stand-in until it is killed.
 ///
@@ -27,8 +27,7 @@
         print!("{}", options::HELP);
         return Ok(process::ExitCode::SUCCESS);
     };
-    let listener = standin::listen(cfg.listen).await?;
-    let engine = state::Engine::start(cfg);
-    warp::serve(http::routes(engine)).incoming(listener).run().await;
+    let address = cfg.listen;
+    server::run(address, http::routes(state::Engine::start(cfg))).await?;
     Ok(process::ExitCode::SUCCESS)
 }
--- a/damaskdrift_lab/src/standin/store/mod.rs
+++ b/damaskdrift_lab/src/standin/store/mod.rs
@@ -7,7 +7,7 @@
 use std::process;
 
 use crate::error::Error;
-use crate::standin;
+use crate::server;
 
 /// Runs the stand-in until it is killed.
 ///
@@ -19,8 +19,7 @@
         print!("{}", options::HELP);
         return Ok(process::ExitCode::SUCCESS);
     };
-    let listener = standin::listen(cfg.listen).await?;
-    let store = http::Store::new(cfg);
-    warp::serve(http::routes(store)).incoming(listener).run().await;
+    let address = cfg.listen;
+    server::run(address, http::routes(http::Store::new(cfg))).await?;
     Ok(process::ExitCode::SUCCESS)
 }
--- a/damaskdrift_lab/src/standin/weights/mod.rs
+++ b/damaskdrift_lab/src/standin/weights/mod.rs
@@ -10,7 +10,7 @@
 use warp::Filter as _;
 
 use crate::error::Error;
-use crate::standin;
+use crate::server;
 use crate::standin::flag;
 use crate::standin::link;
 
@@ -47,11 +47,10 @@
     let address =
         address.ok_or_else(|| Error::Usage("weights needs --listen IP:PORT".to_owned()))?;
     let link = sync::Arc::new(link::Link::new(bytes_per_s));
-    let listener = standin::listen(address).await?;
     let routes = warp::path!("v1" / "weights" / String / String)
         .and(warp::get())
         .map(move |_model, _version| warp::reply::stream(weights(link.clone(), bytes)));
-    warp::serve(routes).incoming(listener).run().await;
+    server::run(address, routes).await?;
     Ok(process::ExitCode::SUCCESS)
 }
 
