Decide at-most-once execution and retries in the core

Cause: calls that may not be repeated had no claim, and failed calls no rule for a second try. Change: 'idempotency' holds the typestate unclaimed, claimed, sent, answered, the record format and every decision after a write, an observation or a pause; 'retry' holds the retry budget, the backoff and the rule for what may be tried again.

--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod code;
 pub mod fleet;
 pub mod id;
+pub mod idempotency;
+pub mod retry;
 pub mod template;
 pub mod time;
