--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -6,16 +6,21 @@
 use std::time::Duration;
 
 use damaskdrift_core::code;
+use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind};
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 use crate::caller;
 use crate::context;
-use crate::control::{lifecycle, sync};
+use crate::control;
+use crate::control::lifecycle;
 use crate::logging;
 use crate::metrics;
+use crate::operator;
+use crate::peer;
 use crate::settings;
 
 /// An instance that could not start.
@@ -32,6 +37,9 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The operators' token cannot be read.
+    #[error("[{}] {_0}", code::Code::SettingsInvalid.number())]
+    Token(String),
     /// The runtime cannot be started.
     #[error("[{}] cannot start the runtime: {_0}", code::Code::Internal.number())]
     Runtime(std::io::Error),
@@ -46,20 +54,24 @@
     let settings = settings::Settings::load(config)?;
     logging::init(&settings.log)
         .map_err(|message| settings::Error::Invalid { path: config.to_owned(), message })?;
-    let _page = metrics::init();
+    let page = metrics::init();
     let runtime = tokio::runtime::Runtime::new().map_err(Error::Runtime)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, page))
 }
 
-async fn serve(settings: settings::Settings) -> Result<(), Error> {
+async fn serve(settings: settings::Settings, page: PrometheusHandle) -> Result<(), Error> {
+    let token = settings.operators.token().map_err(Error::Token)?;
     let cx = context::Context::new(settings);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let starting = lifecycle::Lifecycle::new(&cx.lifecycle);
+    let operators = listen(cx.settings.listen.operators).await?;
     let callers = listen(cx.settings.listen.callers).await?;
-    tokio::spawn(sync::run(cx.clone()));
-    let stop = stop_accepting(cx.clone());
-    let callers = tokio::spawn(caller::serve(cx.clone(), callers, stop));
+    start_control(&cx).await?;
+    let stop = CancellationToken::new();
+    let listener = operator::listener::Listener::new(cx.clone(), page, &token);
+    let operators = tokio::spawn(listener.run(operators, stop.clone().cancelled_owned()));
+    let callers = tokio::spawn(caller::serve(cx.clone(), callers, stop_accepting(cx.clone())));
     let serving = starting.serve();
     tokio::select! {
         _ = terminate.recv() => {}
@@ -67,6 +79,9 @@
     }
     let draining = serving.drain();
     draining.finish(finish(&cx, callers)).await;
+    stop.cancel();
+    // The listener ends by itself; a panic in it was printed when it happened.
+    let _ = operators.await;
     Ok(())
 }
 
@@ -99,3 +114,13 @@
 fn signal(kind: SignalKind) -> Result<Signal, Error> {
     tokio::signal::unix::signal(kind).map_err(Error::Runtime)
 }
+
+/// Opens the peers' listener and starts the background loops.
+async fn start_control(cx: &Arc<context::Context>) -> Result<(), Error> {
+    let peers = listen(cx.settings.listen.peers).await?;
+    peer::start(cx, peers);
+    tokio::spawn(control::roster::run(cx.clone()));
+    tokio::spawn(control::heartbeat::run(cx.clone()));
+    tokio::spawn(control::sync::run(cx.clone()));
+    Ok(())
+}
