Run calls that may not be repeated at most once

Cause: such calls were refused with 'claim-unavailable'. Change: a call is claimed, sent over a connection of its own and recorded by a task that does not depend on the caller's connection; repeats wait for the claim or get the recorded answer. Requests are placed on the best upstream with a slot, retried within the budget of the workspace, and upstreams that cannot be connected to are tried last for 1 s. Failed attempts count as evidence.

--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -1,9 +1,10 @@
 //! Answers prompts.
 
 use std::sync;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
+use damaskdrift_core::block;
 use damaskdrift_core::code;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
@@ -14,11 +15,12 @@
 use hyper::{HeaderMap, Request, Response};
 use warp::Reply as _;
 
+use crate::caller::attempts::{Attempts, Placed};
 use crate::caller::prompt::Prompt;
 use crate::caller::refusal::Refusal;
 use crate::caller::relay;
 use crate::caller::request::{self, Caller};
-use crate::caller::{answer, request_id};
+use crate::caller::{answer, request_id, resume};
 use crate::context;
 use crate::control::{freshness, observe, slots};
 use crate::upstream;
@@ -32,6 +34,14 @@
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// An engine's answer that has begun.
+struct Answering {
+    stream: relay::StreamId,
+    conn: upstream::Connection,
+    response: Response<Incoming>,
+    slot: slots::Slot,
+}
+
 /// A prompt on its way to an engine.
 pub struct Dispatch {
     cx: sync::Arc<context::Context>,
@@ -68,51 +78,93 @@
     /// Returns a refusal when no engine answers.
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
-        let targets = self.targets()?;
-        let mut refusal = Refusal::from(code::Code::NoUpstream);
-        for target in targets {
-            match self.attempt(target).await {
+        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, self.targets()?);
+        loop {
+            let placed = attempts.place().await?;
+            let refusal = match self.attempt(placed).await {
                 Ok(response) => return Ok(response),
-                Err(other) => refusal = other,
-            }
-            if refusal.outcome != code::Outcome::NotRun {
-                break;
+                Err(refusal) => refusal,
+            };
+            if !attempts.may_retry(refusal.outcome).await {
+                return Err(refusal);
             }
         }
-        Err(refusal)
     }
 
-    async fn attempt(&self, target: upstream::Target) -> Result<warp::reply::Response, Refusal> {
-        let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
-        let slot = slots::acquire(&self.cx, &target.id, wait).await?;
-        let mut conn = self.cx.upstreams.connect(&target, slot.boot.as_ref()).await?;
+    async fn attempt(&self, placed: Placed) -> Result<warp::reply::Response, Refusal> {
+        let Placed { target, slot } = placed;
         let secret = &self.caller.fleet.document.secret;
-        let request = request_id::generate(secret, &self.caller.workspace, &target.id);
-        let req = self.request(&request);
-        let response = conn.send(req, self.cx.upstreams.timeouts().answer).await?;
+        let workspace = self.caller.workspace.clone();
+        let request = request_id::generate(secret, &workspace, &target.id);
+        let stream = relay::StreamId { target, request, workspace };
+        let connected = self.cx.upstreams.connect(&stream.target, slot.boot.as_ref()).await;
+        let conn = connected.inspect_err(|_| slots::trouble(&self.cx, &stream.target.id))?;
+        let mut observation = self.observation(&stream.target, &conn);
+        let answered = self.exchange(&stream, conn, slot, &observation).await;
+        if answered.is_err() {
+            observation.first_token = None;
+            observe::record(&self.cx, &observation);
+        }
+        answered
+    }
+
+    async fn exchange(
+        &self,
+        stream: &relay::StreamId,
+        mut conn: upstream::Connection,
+        slot: slots::Slot,
+        observation: &observe::Observation,
+    ) -> Result<warp::reply::Response, Refusal> {
+        let wait = self.cx.upstreams.timeouts().answer;
+        let sent = conn.send(self.request(&stream.request), wait).await;
+        let response = match sent {
+            Ok(response) => response,
+            Err(failure) => {
+                slots::trouble(&self.cx, &stream.target.id);
+                let response;
+                (conn, response) = self.recover(stream, &conn, failure).await?;
+                response
+            }
+        };
         if response.status().is_server_error() {
-            let message = format!("{} answered with status {}", target.id, response.status());
+            let message =
+                format!("{} answered with status {}", stream.target.id, response.status());
             return Err(Refusal::unknown(code::Code::UpstreamError, &message));
         }
-        let workspace = self.caller.workspace.clone();
-        let stream = relay::StreamId { target, request, workspace };
-        if is_event_stream(response.headers()) {
-            self.stream(stream, conn, response, slot).await
+        let answer = Answering { stream: stream.clone(), conn, response, slot };
+        if is_event_stream(answer.response.headers()) {
+            self.stream(answer, observation.clone()).await
         } else {
-            self.whole(stream, conn, response).await
+            self.whole(answer, observation.clone()).await
+        }
+    }
+
+    /// Looks for the answer of a request whose connection broke before the answer began: the engine
+    /// may have taken the request and keep its stream.
+    async fn recover(
+        &self,
+        stream: &relay::StreamId,
+        conn: &upstream::Connection,
+        failure: upstream::Failure,
+    ) -> Result<(upstream::Connection, Response<Incoming>), upstream::Failure> {
+        let is_kept = failure.sent && failure.code == code::Code::UpstreamBroken;
+        if !self.prompt.is_stream || !is_kept {
+            return Err(failure);
+        }
+        match resume::open(&self.cx, stream, conn.boot.as_ref(), 0).await {
+            Ok((conn, response)) if response.status().is_success() => Ok((conn, response)),
+            _ => Err(failure),
         }
     }
 
     async fn stream(
         &self,
-        stream: relay::StreamId,
-        conn: upstream::Connection,
-        response: Response<Incoming>,
-        slot: slots::Slot,
+        answer: Answering,
+        mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
+        let Answering { stream, conn, response, slot } = answer;
         let (head, body) = response.into_parts();
         let head = answer::Head::new(&head, &stream.request);
-        let mut observation = self.observation(&stream.target, &conn);
         let mut source = relay::Source::new(&self.cx, stream, conn, Some(body), 0).with_slot(slot);
         let first = source.next().await?;
         observation.first_token = Some(self.started.elapsed().into());
@@ -129,14 +181,14 @@
 
     async fn whole(
         &self,
-        stream: relay::StreamId,
-        conn: upstream::Connection,
-        mut response: Response<Incoming>,
+        answer: Answering,
+        mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
+        let Answering { stream, conn, mut response, slot: _slot } = answer;
         let wait = self.cx.upstreams.timeouts().answer;
-        let body = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await?;
+        let read = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await;
+        let body = read.inspect_err(|_| slots::trouble(&self.cx, &stream.target.id))?;
         let (head, _) = response.into_parts();
-        let mut observation = self.observation(&stream.target, &conn);
         observation.succeeded = true;
         observation.first_token = Some(self.started.elapsed().into());
         if !head.status.is_client_error() {
@@ -153,12 +205,12 @@
     fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
         let workspace = &self.caller.workspace;
         let secret = &self.caller.fleet.document.secret;
-        let root = self.prompt.cache_root(secret, workspace, &self.version);
+        let root = block::root(secret, workspace, &self.prompt.model);
         Request::post(self.path)
             .header(header::CONTENT_TYPE, "application/json")
             .header(answer::REQUEST_ID, request.as_str())
             .header("x-workspace", workspace.as_str())
-            .header("x-cache-root", root)
+            .header("x-cache-root", root.to_string())
             .header(PRIORITY, u16::from(self.priority))
             .body(Full::new(self.prompt.body.clone()))
             .expect("ids and numbers are valid header values")
--- a/damaskdrift/src/caller/mod.rs
+++ b/damaskdrift/src/caller/mod.rs
@@ -1,7 +1,9 @@
 //! Callers' HTTP listener.
 
 mod answer;
+mod attempts;
 mod completion;
+mod once;
 mod prompt;
 mod refusal;
 mod relay;
--- a/damaskdrift/src/caller/prompt.rs
+++ b/damaskdrift/src/caller/prompt.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use damaskdrift_core::code;
-use damaskdrift_core::fleet;
 use damaskdrift_core::id;
 use serde::Deserialize;
 use serde_json::Value;
@@ -11,8 +10,6 @@
 
 /// Length of the part of a plain prompt that is its root, in bytes.
 const ROOT_LEN: usize = 256;
-/// Purpose under which the key of cache roots is derived from the fleet secret.
-const PURPOSE: &str = "damaskdrift 2026 cache root";
 
 /// A prompt as the caller sent it, with what decides where it goes.
 #[derive(Clone, Debug)]
@@ -73,22 +70,6 @@
         let root = first.to_string().into();
         Ok(Self { model: id::Model::new(&request.model), is_stream: request.stream, root, body })
     }
-
-    /// Returns the key of the prompt's prefix chain root, which differs between workspaces.
-    pub fn cache_root(
-        &self,
-        secret: &fleet::Secret,
-        workspace: &id::Workspace,
-        version: &id::Version,
-    ) -> String {
-        let mut hasher = blake3::Hasher::new_keyed(&secret.derive(PURPOSE));
-        for part in [workspace.as_str(), self.model.as_str(), version.as_str()] {
-            hasher.update(part.as_bytes());
-            hasher.update(&[0]);
-        }
-        hasher.update(&self.root);
-        hasher.finalize().to_hex().to_string()
-    }
 }
 
 fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Refusal> {
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -1,11 +1,12 @@
 //! Passes calls on to plain services.
 
 use std::sync;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use damaskdrift_core::code;
 use damaskdrift_core::id;
+use damaskdrift_core::idempotency;
 use damaskdrift_core::template;
 use http_body_util::Full;
 use hyper::header;
@@ -13,9 +14,10 @@
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use warp::Reply as _;
 
+use crate::caller::attempts::{Attempts, Placed};
 use crate::caller::refusal::Refusal;
 use crate::caller::request::{self, Caller};
-use crate::caller::{answer, request_id, route};
+use crate::caller::{answer, once, request_id, route};
 use crate::context;
 use crate::control::{freshness, observe, slots};
 use crate::upstream;
@@ -26,13 +28,17 @@
 const MAX_KEY_LEN: usize = 128;
 /// Header that carries the key of a call that may not be repeated.
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header that marks an answer whose record could not be written in time.
+const RECORDED: HeaderName = HeaderName::from_static("x-recorded");
 /// Header that names the caller's workspace to a service.
 const WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
 
 /// A call to a plain service.
 pub struct Call {
-    cx: sync::Arc<context::Context>,
-    caller: Caller,
+    /// State of the instance.
+    pub cx: sync::Arc<context::Context>,
+    /// Who calls.
+    pub caller: Caller,
     service: id::Service,
     method: Method,
     /// Path and query below the service.
@@ -79,38 +85,47 @@
         let policy = self.policy()?;
         let path = self.path.split('?').next().unwrap_or_default();
         if route::is_non_idempotent(policy, self.method.as_str(), path) {
-            self.key()?;
-            return Err(code::Code::ClaimUnavailable.into());
+            let key = self.key()?.to_owned();
+            return once::run(self, &key).await.map(Answer::into_response);
         }
-        let mut refusal = Refusal::from(code::Code::NoUpstream);
-        for target in self.targets()? {
-            let request = self.request_id(&target);
-            match self.attempt(&target, &request).await {
-                Ok(answer) => return Ok(answer.into_response(&request)),
-                Err(other) => refusal = other,
-            }
-            if refusal.outcome != code::Outcome::NotRun {
-                break;
+        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, self.targets()?);
+        loop {
+            let Placed { target, slot } = attempts.place().await?;
+            let refusal = match self.attempt(&target, &slot).await {
+                Ok(answer) => return Ok(answer.into_response()),
+                Err(refusal) => refusal,
+            };
+            drop(slot);
+            if !attempts.may_retry(refusal.outcome).await {
+                return Err(refusal);
             }
         }
-        Err(refusal)
     }
 
     async fn attempt(
         &self,
         target: &upstream::Target,
-        request: &id::Request,
+        slot: &slots::Slot,
     ) -> Result<Answer, Refusal> {
-        let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
-        let _slot = slots::acquire(&self.cx, &target.id, wait).await?;
-        let mut conn = self.cx.upstreams.connect(target, None).await?;
-        let answer = self.exchange(&mut conn, request).await?;
+        let boot = slot.boot.as_ref();
+        let connected = self.cx.upstreams.connect(target, boot).await;
+        let mut conn = connected.inspect_err(|_| slots::trouble(&self.cx, &target.id))?;
+        let answer = self.exchange(&mut conn, &self.request_id(target)).await;
+        let answer = answer.inspect_err(|_| {
+            slots::trouble(&self.cx, &target.id);
+            self.observe_failure(target);
+        })?;
         self.observe(target, answer.status);
         self.cx.upstreams.put(target, conn);
         Ok(answer)
     }
 
-    async fn exchange(
+    /// Sends the call over a connection and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no complete answer and whether a byte of the call may have been sent.
+    pub async fn exchange(
         &self,
         conn: &mut upstream::Connection,
         request: &id::Request,
@@ -118,10 +133,16 @@
         let wait = self.cx.upstreams.timeouts().answer;
         let mut response = conn.send(self.request(request), wait).await?;
         let body = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await?;
-        let headers = answer::end_to_end(response.headers());
+        let mut headers = answer::end_to_end(response.headers());
+        headers.insert(answer::REQUEST_ID, answer::value(request));
         Ok(Answer { status: response.status(), headers, body })
     }
 
+    /// Returns the hash of what the call asks for.
+    pub fn body_hash(&self) -> idempotency::BodyHash {
+        idempotency::BodyHash::new(&self.service, self.method.as_str(), &self.path, &self.body)
+    }
+
     fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
@@ -134,7 +155,8 @@
         req
     }
 
-    fn request_id(&self, target: &upstream::Target) -> id::Request {
+    /// Creates the id of a request to an upstream.
+    pub fn request_id(&self, target: &upstream::Target) -> id::Request {
         let secret = &self.caller.fleet.document.secret;
         request_id::generate(secret, &self.caller.workspace, &target.id)
     }
@@ -160,7 +182,12 @@
         Ok(key)
     }
 
-    fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
+    /// Returns the upstreams that may run the call, in random order.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the workspace may not use the service.
+    pub fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
         let services = self.caller.fleet.services(&self.service, self.policy()?);
         let mut targets: Vec<_> =
             services.filter_map(|(id, service)| upstream::Target::new(id, service)).collect();
@@ -168,12 +195,22 @@
         Ok(targets)
     }
 
-    fn observe(&self, target: &upstream::Target, status: StatusCode) {
+    /// Notes an answer as evidence.
+    pub fn observe(&self, target: &upstream::Target, status: StatusCode) {
+        self.note(target, !status.is_server_error());
+    }
+
+    /// Notes a call without an answer as evidence.
+    pub fn observe_failure(&self, target: &upstream::Target) {
+        self.note(target, false);
+    }
+
+    fn note(&self, target: &upstream::Target, succeeded: bool) {
         let observation = observe::Observation {
             workspace: self.caller.workspace.clone(),
             version: None,
             upstream: Some(target.id.clone()),
-            succeeded: !status.is_server_error(),
+            succeeded,
             first_token: Some(self.started.elapsed().into()),
             between_tokens: None,
             cold: false,
@@ -183,12 +220,44 @@
 }
 
 impl Answer {
+    /// Returns the answer as it is recorded.
+    pub fn to_record(&self) -> idempotency::Answer {
+        let headers = self.headers.iter();
+        let headers = headers.map(|(name, v)| (name.to_string(), v.as_bytes().to_vec())).collect();
+        idempotency::Answer { status: self.status.as_u16(), headers, body: self.body.to_vec() }
+    }
+
+    /// Restores a recorded answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the record has no valid status or header.
+    pub fn from_record(record: idempotency::Answer) -> Result<Self, Refusal> {
+        let invalid = || {
+            let message = "the recorded answer cannot be read";
+            Refusal::new(code::Code::AnswerNotKept, message).with_outcome(code::Outcome::Ran)
+        };
+        let status = StatusCode::from_u16(record.status).map_err(|_| invalid())?;
+        let mut headers = HeaderMap::new();
+        for (name, value) in record.headers {
+            let name = HeaderName::try_from(name).map_err(|_| invalid())?;
+            let value = header::HeaderValue::from_bytes(&value).map_err(|_| invalid())?;
+            headers.append(name, value);
+        }
+        Ok(Self { status, headers, body: record.body.into() })
+    }
+
+    /// Marks an answer whose record could not be written in time.
+    pub fn with_unrecorded(mut self) -> Self {
+        self.headers.insert(RECORDED, header::HeaderValue::from_static("false"));
+        self
+    }
+
     /// Returns the caller's answer.
-    pub fn into_response(self, request: &id::Request) -> warp::reply::Response {
+    pub fn into_response(self) -> warp::reply::Response {
         let mut response = warp::http::Response::new(self.body).into_response();
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
-        response.headers_mut().insert(answer::REQUEST_ID, answer::value(request));
         response
     }
 }
--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -9,6 +9,7 @@
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
 use damaskdrift_core::membership;
+use damaskdrift_core::retry;
 use damaskdrift_core::time::{Millis, UnixMillis};
 use tokio::sync::watch;
 
@@ -47,6 +48,7 @@
     /// Client of the instance list.
     pub instance_list: instance_list::Client,
     membership: sync::Mutex<membership::Membership>,
+    retry_budgets: sync::Mutex<retry::Budgets>,
     started: time::Instant,
 }
 
@@ -73,6 +75,7 @@
             leaving_upstreams: ArcSwap::default(),
             pauses: watch::Sender::new(0),
             membership: sync::Mutex::new(membership),
+            retry_budgets: sync::Mutex::default(),
             started: time::Instant::now(),
         })
     }
@@ -87,6 +90,11 @@
         self.membership.lock().expect("no thread panics while it holds the lock")
     }
 
+    /// Locks the retry budgets of the workspaces; not held across an await.
+    pub fn retry_budgets(&self) -> sync::MutexGuard<'_, retry::Budgets> {
+        self.retry_budgets.lock().expect("no thread panics while it holds the lock")
+    }
+
     /// Returns the age above which the configuration counts as unconfirmed.
     pub fn freshness_limit(&self) -> Millis {
         Millis(self.settings.limits.freshness_limit_ms)
--- a/damaskdrift/src/upstream/pool.rs
+++ b/damaskdrift/src/upstream/pool.rs
@@ -17,6 +17,8 @@
 const MAX_IDLE: usize = 64;
 /// Age at which an idle connection is closed; it is below the idle timeout of common servers.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
+/// Time for which an upstream that could not be connected to is tried last.
+const UNREACHABLE_FOR: Duration = Duration::from_secs(1);
 /// Longest wait for an idle connection to finish its last exchange.
 const READY_WAIT: Duration = Duration::from_millis(20);
 
@@ -36,6 +38,8 @@
 pub struct Pool {
     timeouts: Timeouts,
     idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Idle>>>,
+    /// When connecting last failed.
+    unreachable: sync::Mutex<collections::HashMap<net::SocketAddr, Instant>>,
 }
 
 #[derive(Debug)]
@@ -56,7 +60,8 @@
 impl Pool {
     /// Creates an empty pool.
     pub fn new(limits: &settings::Limits) -> Self {
-        Self { timeouts: Timeouts::new(limits), idle: sync::Mutex::default() }
+        let timeouts = Timeouts::new(limits);
+        Self { timeouts, idle: sync::Mutex::default(), unreachable: sync::Mutex::default() }
     }
 
     /// Returns the longest waits on an upstream.
@@ -93,7 +98,9 @@
         target: &Target,
         boot: Option<&id::Boot>,
     ) -> Result<Connection, Failure> {
-        let conn = Connection::open(target.address, target.is_engine, self.timeouts).await?;
+        let opened = Connection::open(target.address, target.is_engine, self.timeouts).await;
+        self.note(target, opened.is_ok());
+        let conn = opened?;
         if boot.is_some() && conn.boot.as_ref() != boot {
             let message = format!("{} has restarted since its slot was granted", target.id);
             return Err(Failure::unsent(code::Code::ConnectFailed, message));
@@ -101,12 +108,29 @@
         Ok(conn)
     }
 
+    /// Moves targets that could not be connected to lately behind the others.
+    pub fn demote_unreachable(&self, targets: &mut [Target]) {
+        let unreachable = lock(&self.unreachable);
+        targets.sort_by_key(|target| {
+            unreachable.get(&target.address).is_some_and(|at| at.elapsed() < UNREACHABLE_FOR)
+        });
+    }
+
+    fn note(&self, target: &Target, is_reachable: bool) {
+        let mut unreachable = lock(&self.unreachable);
+        if is_reachable {
+            unreachable.remove(&target.address);
+        } else {
+            unreachable.insert(target.address, Instant::now());
+        }
+    }
+
     /// Keeps a connection whose last answer was read to its end.
     pub fn put(&self, target: &Target, conn: Connection) {
         if conn.is_closed() {
             return;
         }
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         let kept = idle.entry(target.address).or_default();
         kept.retain(Idle::is_usable);
         if kept.len() < MAX_IDLE {
@@ -115,17 +139,13 @@
     }
 
     fn take(&self, target: &Target, boot: Option<&id::Boot>) -> Option<Connection> {
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         let kept = idle.get_mut(&target.address)?;
         kept.retain(Idle::is_usable);
         let position =
             kept.iter().rposition(|idle| boot.is_none() || idle.conn.boot.as_ref() == boot)?;
         Some(kept.swap_remove(position).conn)
     }
-
-    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner)
-    }
 }
 
 impl Idle {
@@ -133,3 +153,7 @@
         !self.conn.is_closed() && self.since.elapsed() < MAX_IDLE_AGE
     }
 }
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().expect("no thread panics while it holds the lock")
+}
--- a/damaskdrift_core/src/idempotency/call.rs
+++ b/damaskdrift_core/src/idempotency/call.rs
@@ -4,7 +4,7 @@
 use crate::id;
 use crate::idempotency::record::{Answer, Attempt, BodyHash, Record, State};
 use crate::idempotency::release::Release;
-use crate::idempotency::{MAX_BODY_BYTES, SEND_WITHIN, Stored, Written};
+use crate::idempotency::{SEND_WITHIN, Stored, Written};
 use crate::time::Millis;
 
 /// Identifies an attempt and what it asks for.
@@ -117,7 +117,7 @@
 
     /// Takes the service's answer.
     pub fn answered(self, answer: Answer) -> Call<Answered> {
-        if answer.body.len() > MAX_BODY_BYTES {
+        if !answer.fits() {
             return self.settle(State::UnknownBody { status: answer.status });
         }
         self.settle(State::Answered(answer))
--- a/damaskdrift_core/src/idempotency/mod.rs
+++ b/damaskdrift_core/src/idempotency/mod.rs
@@ -19,8 +19,11 @@
 
 /// How long a record is kept; a key may be used anew afterwards.
 pub const RETENTION: Millis = Millis::from_secs(24 * 60 * 60);
-/// Largest body that is recorded, in bytes; the key-value service holds values up to 1 MB.
+/// Largest body that is recorded, in bytes.
 pub const MAX_BODY_BYTES: usize = 256 << 10;
+/// Largest headers that are recorded, in bytes. One byte takes up to 6 in a record, and the
+/// key-value service holds values up to 1 MB.
+pub const MAX_HEADER_BYTES: usize = 64 << 10;
 /// Longest time between asking for a claim and sending. A holder that was paused for longer must
 /// not send, because its record may have expired by then and another attempt may hold the key.
 pub const SEND_WITHIN: Millis = Millis::from_secs(60);
--- a/damaskdrift_core/src/idempotency/record.rs
+++ b/damaskdrift_core/src/idempotency/record.rs
@@ -7,6 +7,7 @@
 use thiserror::Error;
 
 use crate::id;
+use crate::idempotency::{MAX_BODY_BYTES, MAX_HEADER_BYTES};
 
 /// Identifies one attempt to run a call.
 #[derive(Clone, Debug, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
@@ -98,6 +99,14 @@
     format!("idem/{workspace}/{}", blake3::hash(idempotency_key.as_bytes()).to_hex())
 }
 
+impl Answer {
+    /// Returns whether the answer is small enough to be recorded.
+    pub fn fits(&self) -> bool {
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        self.body.len() <= MAX_BODY_BYTES && headers.sum::<usize>() <= MAX_HEADER_BYTES
+    }
+}
+
 impl Attempt {
     /// Creates an attempt from text that is unique.
     pub fn new(text: &str) -> Self {
--- a/damaskdrift_core/tests/idempotency.rs
+++ b/damaskdrift_core/tests/idempotency.rs
@@ -280,17 +280,22 @@
 }
 
 // Guards against a record that exceeds what the key-value service holds.
-#[test]
-fn a_large_body_is_recorded_as_its_status() {
+#[rstest]
+#[case::body(idempotency::MAX_BODY_BYTES, 0, true)]
+#[case::larger_body(idempotency::MAX_BODY_BYTES + 1, 0, false)]
+#[case::headers(idempotency::MAX_BODY_BYTES, idempotency::MAX_HEADER_BYTES - 1, true)]
+#[case::larger_headers(0, idempotency::MAX_HEADER_BYTES, false)]
+fn a_record_fits_into_a_value(#[case] body: usize, #[case] header: usize, #[case] is_kept: bool) {
     let Claim::Won(call) =
         Call::new(ticket(1)).on_written(Written::Done(id::Revision(1)), Millis(0))
     else {
         panic!("the write was done");
     };
-    let body = vec![b'x'; idempotency::MAX_BODY_BYTES + 1];
-    let call = call.send(Millis(0)).expect("no time has passed");
-    let call = call.answered(Answer { status: 200, headers: Vec::new(), body });
-    assert_eq!(call.record().state, State::UnknownBody { status: 200 });
+    let headers = vec![("x".to_owned(), vec![0; header])];
+    let answer = Answer { status: 200, headers, body: vec![b'x'; body] };
+    let record = call.send(Millis(0)).expect("no time has passed").answered(answer).record();
+    assert_eq!(matches!(record.state, State::Answered(_)), is_kept);
+    assert!(record.encode().len() < 1_000_000);
 }
 
 // Guards against a key that stays claimed for a day by an attempt that gave up, whether its claim
