--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -22,7 +22,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, request_id, resume};
 use crate::context;
-use crate::control::{freshness, observe, slots};
+use crate::control::{freshness, observe, roster, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, 0 highest to 3.
@@ -99,6 +99,7 @@
         let stream = relay::StreamId { target, request, workspace };
         let connected = self.cx.upstreams.connect(&stream.target, slot.boot.as_ref()).await;
         let conn = connected.inspect_err(|_| slots::lost(&self.cx, &stream.target.id))?;
+        freshness::check_upstream(&self.cx, &stream.target.id)?;
         let mut observation = self.observation(&stream.target, &conn);
         let answered = self.exchange(&stream, conn, slot, &observation).await;
         if answered.is_err() {
@@ -219,6 +220,7 @@
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
         let route = route(&self.caller, &self.prompt)?;
         let engines = self.caller.fleet.engines(&self.prompt.model, route);
+        let engines = engines.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             engines.filter_map(|(id, engine)| upstream::Target::new(id, engine)).collect();
         upstream::rank(&mut targets, &self.prompt.root);
--- a/damaskdrift/src/caller/once.rs
+++ b/damaskdrift/src/caller/once.rs
@@ -193,7 +193,7 @@
             };
             let refusal = match self.connect(&target, &slot).await {
                 Ok(conn) => {
-                    let sent = match self.allow(claimed) {
+                    let sent = match self.allow(claimed, &target) {
                         Ok(sent) => sent,
                         Err(refused) => return Err(refused),
                     };
@@ -229,8 +229,9 @@
     fn allow(
         &self,
         claimed: idempotency::Call<Claimed>,
+        target: &upstream::Target,
     ) -> std::result::Result<idempotency::Call<Sent>, (idempotency::Call<Claimed>, Refusal)> {
-        if let Err(code) = freshness::check(&self.cx) {
+        if let Err(code) = freshness::check_upstream(&self.cx, &target.id) {
             return Err((claimed, code.into()));
         }
         if Instant::now() >= self.deadline {
