--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -9,10 +9,11 @@
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
 use damaskdrift_core::membership;
+use damaskdrift_core::retry;
 use damaskdrift_core::time::{Millis, UnixMillis};
 use tokio::sync::watch;
 
-use crate::control::{heartbeat, lifecycle, sync as config, tasks};
+use crate::control::{heartbeat, lifecycle, slots, sync as config, tasks};
 use crate::peer;
 use crate::platform::{instance_list, key_value};
 use crate::settings;
@@ -38,6 +39,8 @@
     pub pauses: watch::Sender<u64>,
     /// Client of the key-value service.
     pub key_value: key_value::Client,
+    /// Slots at upstreams.
+    pub slots: slots::Slots,
     /// Connections to upstreams.
     pub upstreams: upstream::Pool,
     /// How far the life of the instance has come.
@@ -47,6 +50,7 @@
     /// Client of the instance list.
     pub instance_list: instance_list::Client,
     membership: sync::Mutex<membership::Membership>,
+    retry_budgets: sync::Mutex<retry::Budgets>,
     started: time::Instant,
 }
 
@@ -61,6 +65,7 @@
         sync::Arc::new(Self {
             key_value: key_value::Client::new(settings.platform.key_value, timeout),
             instance_list: instance_list::Client::new(settings.platform.instance_list, timeout),
+            slots: slots::Slots::new(settings.limits.fleet_max),
             upstreams: upstream::Pool::new(&settings.limits),
             lifecycle: lifecycle::Signal::default(),
             tasks: tasks::Tasks::default(),
@@ -73,6 +78,7 @@
             leaving_upstreams: ArcSwap::default(),
             pauses: watch::Sender::new(0),
             membership: sync::Mutex::new(membership),
+            retry_budgets: sync::Mutex::default(),
             started: time::Instant::now(),
         })
     }
@@ -87,6 +93,11 @@
         self.membership.lock().expect("no thread panics while it holds the lock")
     }
 
+    /// Locks the retry budgets of the workspaces; not held across an await.
+    pub fn retry_budgets(&self) -> sync::MutexGuard<'_, retry::Budgets> {
+        self.retry_budgets.lock().expect("no thread panics while it holds the lock")
+    }
+
     /// Returns the age above which the configuration counts as unconfirmed.
     pub fn freshness_limit(&self) -> Millis {
         Millis(self.settings.limits.freshness_limit_ms)
--- a/damaskdrift_lab/src/proxy/admin.rs
+++ b/damaskdrift_lab/src/proxy/admin.rs
@@ -19,14 +19,11 @@
     let all = (with.clone().and(warp::put()))
         .and(warp::path!("mode"))
         .and(warp::body::bytes())
-        .map(|links: Arc<[Link]>, body: Bytes| set_mode(&links, &body));
+        .then(async |links: Arc<[Link]>, body: Bytes| set_mode(&links, &body).await);
     let one = (with.clone().and(warp::put()))
         .and(warp::path!("links" / usize / "mode"))
         .and(warp::body::bytes())
-        .map(|links: Arc<[Link]>, index: usize, body: Bytes| match links.get(index) {
-            Some(link) => set_mode(std::slice::from_ref(link), &body),
-            None => StatusCode::NOT_FOUND.into_response(),
-        });
+        .then(set_one_mode);
     let list = with.and(warp::get()).and(warp::path!("links")).map(|links: Arc<[Link]>| {
         let stats: Vec<Stats> = links.iter().map(Link::stats).collect();
         warp::reply::json(&stats).into_response()
@@ -34,12 +31,18 @@
     all.or(one).unify().or(list).unify()
 }
 
-fn set_mode(links: &[Link], body: &[u8]) -> Response {
+async fn set_one_mode(links: Arc<[Link]>, index: usize, body: Bytes) -> Response {
+    match links.get(index) {
+        Some(link) => set_mode(std::slice::from_ref(link), &body).await,
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+async fn set_mode(links: &[Link], body: &[u8]) -> Response {
     match server::parse(body).and_then(Mode::checked) {
         Ok(mode) => {
-            for link in links {
-                link.set_mode(mode);
-            }
+            let follow = links.iter().map(|link| link.set_mode(mode));
+            futures_util::future::join_all(follow).await;
             warp::reply::json(&mode).into_response()
         }
         Err(message) => server::bad_request(message),
