--- a/damaskdrift/src/control/slots/ask.rs
+++ b/damaskdrift/src/control/slots/ask.rs
@@ -106,6 +106,8 @@
     for (name, upstream) in &fleet.document.upstreams {
         if let Some((cold, _)) = limits(&upstream.kind) {
             holder.configure(name, cold);
+            // Requests may have come between the installation of the document and this point.
+            cx.slots.freed(name).notify_waiters();
         }
     }
 }
