Count requests that come before their upstream is configured

Change: waiting creates the entry; a request waits for up to three upstreams at once and for 10 s, which covers the loss of a limit owner (3 s lease, 4 s takeover); leases without an owner are tried every 250 ms. Ruled out: the takeover wait, which a fleet of one instance does not need.

--- a/damaskdrift/src/caller/attempts.rs
+++ b/damaskdrift/src/caller/attempts.rs
@@ -52,17 +52,14 @@
     ///
     /// Returns a refusal when no upstream is left or none has a slot in time.
     pub async fn place(&mut self) -> Result<Placed, Refusal> {
-        for i in 0..self.targets.len() {
-            if let Ok(slot) = self.acquire(i, Duration::ZERO).await {
-                return Ok(self.take(i, slot));
-            }
-        }
         if self.targets.is_empty() {
             return Err(code::Code::NoUpstream.into());
         }
         let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
-        let slot = self.acquire(0, wait).await?;
-        Ok(self.take(0, slot))
+        let upstreams: Vec<_> = self.targets.iter().map(|target| &target.id).collect();
+        let (i, slot) = slots::acquire(&self.cx, &upstreams, wait).await?;
+        self.made += 1;
+        Ok(Placed { target: self.targets.remove(i), slot })
     }
 
     /// Waits before the next attempt, or returns that there must be none.
@@ -91,13 +88,4 @@
             }
         }
     }
-
-    async fn acquire(&self, i: usize, wait: Duration) -> Result<slots::Slot, code::Code> {
-        slots::acquire(&self.cx, &self.targets[i].id, wait).await
-    }
-
-    fn take(&mut self, i: usize, slot: slots::Slot) -> Placed {
-        self.made += 1;
-        Placed { target: self.targets.remove(i), slot }
-    }
 }
--- a/damaskdrift/src/control/lease.rs
+++ b/damaskdrift/src/control/lease.rs
@@ -79,6 +79,11 @@
         now + MARGIN < self.renewed + self.life
     }
 
+    /// Returns the time since the lease was last extended.
+    pub fn age(&self, now: Millis) -> Millis {
+        now.since(self.renewed)
+    }
+
     /// Returns the number that orders the holders of the lease.
     pub fn fencing(&self) -> id::FencingToken {
         id::FencingToken(self.revision.0)
--- a/damaskdrift/src/control/slots/load.rs
+++ b/damaskdrift/src/control/slots/load.rs
@@ -21,29 +21,35 @@
 pub async fn run(cx: sync::Arc<context::Context>) {
     loop {
         time::sleep(INTERVAL).await;
-        let groups = cx.slots.owned.groups(cx.now());
-        if groups.is_empty() {
+        let mut reading = tokio::task::JoinSet::new();
+        for group in cx.slots.owned.groups(cx.now()) {
+            let cx = cx.clone();
+            reading.spawn(async move { read_group(&cx, group).await });
+        }
+        while reading.join_next().await.is_some() {}
+    }
+}
+
+/// Reads the reports of a group's upstreams.
+pub async fn read_group(cx: &sync::Arc<context::Context>, group: u16) {
+    let mut reading = tokio::task::JoinSet::new();
+    let fleet = cx.fleet.load_full();
+    for (name, upstream) in &fleet.document.upstreams {
+        if admission::group(name) != group {
             continue;
         }
-        let mut reading = tokio::task::JoinSet::new();
-        let fleet = cx.fleet.load_full();
-        for (name, upstream) in &fleet.document.upstreams {
-            if !groups.contains(&admission::group(name)) {
-                continue;
-            }
-            let Ok(address) = upstream.address.parse() else {
-                continue;
-            };
-            match upstream.kind {
-                fleet::Kind::Engine { .. } => {
-                    reading.spawn(read(cx.clone(), name.clone(), address));
-                }
-                fleet::Kind::Service { .. } => report_service(&cx, name),
-                fleet::Kind::Store => {}
+        let Ok(address) = upstream.address.parse() else {
+            continue;
+        };
+        match upstream.kind {
+            fleet::Kind::Engine { .. } => {
+                reading.spawn(read(cx.clone(), name.clone(), address));
             }
+            fleet::Kind::Service { .. } => report_service(cx, name),
+            fleet::Kind::Store => {}
         }
-        while reading.join_next().await.is_some() {}
     }
+    while reading.join_next().await.is_some() {}
 }
 
 async fn read(cx: sync::Arc<context::Context>, name: id::Upstream, address: net::SocketAddr) {
--- a/damaskdrift/src/control/slots/mod.rs
+++ b/damaskdrift/src/control/slots/mod.rs
@@ -12,12 +12,17 @@
 use damaskdrift_core::code;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::Notify;
 use tokio::time;
 
 use crate::context;
 use crate::peer;
 
+/// Most upstreams that one request waits for at the same time.
+const WAIT_WIDTH: usize = 3;
+
 /// Slots of this instance and the groups it owns.
 #[derive(Debug)]
 pub struct Slots {
@@ -60,6 +65,26 @@
     }
 }
 
+/// Counts a request that waits, until dropped.
+struct Waiting<'a> {
+    cx: &'a context::Context,
+    upstream: &'a id::Upstream,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(cx: &'a context::Context, upstream: &'a id::Upstream) -> Self {
+        cx.slots.holder().wait(upstream, 1, cx.now());
+        cx.slots.wanted.notify_one();
+        Self { cx, upstream }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.cx.slots.holder().wait(self.upstream, -1, self.cx.now());
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.cx.slots.holder().release(&self.upstream);
@@ -81,25 +106,28 @@
     owned::release(cx).await;
 }
 
-/// Waits for a slot at an upstream.
+/// Takes a slot at the first upstream that has one, or waits for one of the first few.
+///
+/// Returns the index of the upstream with the slot.
 ///
 /// # Errors
 ///
 /// Returns the code of the refusal when no slot becomes free in time.
 pub async fn acquire(
     cx: &sync::Arc<context::Context>,
-    upstream: &id::Upstream,
+    upstreams: &[&id::Upstream],
     wait: Duration,
-) -> Result<Slot, code::Code> {
-    if let Some(slot) = try_acquire(cx, upstream) {
-        return Ok(slot);
+) -> Result<(usize, Slot), code::Code> {
+    for (i, upstream) in upstreams.iter().enumerate() {
+        if let Some(slot) = try_acquire(cx, upstream) {
+            return Ok((i, slot));
+        }
     }
-    cx.slots.holder().wait(upstream, 1, cx.now());
-    cx.slots.wanted.notify_one();
-    let waited = time::timeout(wait, wait_for_slot(cx, upstream)).await;
-    cx.slots.holder().wait(upstream, -1, cx.now());
-    metrics::counter!("slots_waited", "granted" => waited.is_ok().to_string()).increment(1);
-    waited.map_err(|_| code::Code::Overloaded)
+    let mut waiting = future_set(cx, &upstreams[..upstreams.len().min(WAIT_WIDTH)]);
+    let waited = time::timeout(wait, waiting.next()).await;
+    let granted = waited.ok().flatten();
+    metrics::counter!("slots_waited", "granted" => granted.is_some().to_string()).increment(1);
+    granted.ok_or(code::Code::Overloaded)
 }
 
 /// Returns the free slots of this instance at an upstream.
@@ -129,7 +157,19 @@
     cx.slots.wanted.notify_one();
 }
 
+fn future_set<'a>(
+    cx: &'a sync::Arc<context::Context>,
+    upstreams: &[&'a id::Upstream],
+) -> FuturesUnordered<impl Future<Output = (usize, Slot)> + 'a> {
+    let wait = |(i, upstream): (usize, &&'a id::Upstream)| {
+        let upstream = *upstream;
+        async move { (i, wait_for_slot(cx, upstream).await) }
+    };
+    upstreams.iter().enumerate().map(wait).collect()
+}
+
 async fn wait_for_slot(cx: &sync::Arc<context::Context>, upstream: &id::Upstream) -> Slot {
+    let _waiting = Waiting::new(cx, upstream);
     let freed = cx.slots.freed(upstream);
     loop {
         let notified = freed.notified();
--- a/damaskdrift/src/control/slots/owned.rs
+++ b/damaskdrift/src/control/slots/owned.rs
@@ -15,14 +15,18 @@
 use crate::control::lease::Lease;
 use crate::control::lifecycle;
 use crate::control::roster;
-use crate::control::slots::limits;
+use crate::control::slots::{limits, load};
 use crate::peer;
 use crate::peer::message;
 
 /// Life of an owner's lease.
 const LEASE_LIFE: Millis = Millis::from_secs(3);
-/// Time between two renewals, and between two tries to take a lease.
-const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two renewals of a lease.
+const RENEW_INTERVAL: Millis = Millis::from_secs(1);
+/// Time between two looks at which leases are due.
+const TICK: Duration = Duration::from_millis(250);
+/// Time between two tries for a lease that another instance holds.
+const TRY_INTERVAL: Millis = Millis::from_secs(1);
 /// Time without an owner after which the next instance in rank tries to take the lease.
 const RANK_DELAY: Millis = Millis::from_secs(4);
 /// Longest wait for a member's report of what it has in flight.
@@ -32,7 +36,7 @@
 #[derive(Debug, Default)]
 pub struct Owned {
     by_group: sync::Mutex<collections::BTreeMap<u16, Entry>>,
-    /// When an owner was last seen, by group.
+    /// When another owner was last seen, by group.
     seen: sync::Mutex<collections::BTreeMap<u16, Millis>>,
 }
 
@@ -72,7 +76,7 @@
             }
             while keeping.join_next().await.is_some() {}
         }
-        time::sleep(backoff::jittered(RENEW_INTERVAL, 0.9..1.1)).await;
+        time::sleep(backoff::jittered(TICK, 0.9..1.1)).await;
     }
 }
 
@@ -138,6 +142,7 @@
 async fn keep(cx: sync::Arc<context::Context>, group: u16) {
     let held = cx.slots.owned.lock().get(&group).map(|entry| entry.lease.clone());
     match held {
+        Some(lease) if lease.age(cx.now()) < RENEW_INTERVAL => {}
         Some(lease) => renew(&cx, group, lease).await,
         None if may_take(&cx, group) => take(&cx, group).await,
         None => {}
@@ -167,6 +172,7 @@
         }
         Err(error) => {
             log::debug!(group; "cannot take the limit owner's lease: {error}");
+            note_owner(cx, group);
             return;
         }
     };
@@ -181,6 +187,8 @@
     configure(cx, group, &mut owner);
     cx.slots.owned.lock().insert(group, Entry { lease, owner });
     collect(cx, group).await;
+    load::read_group(cx, group).await;
+    cx.slots.wanted.notify_one();
 }
 
 /// Collects what is in flight from the members that have not reported yet.
@@ -267,8 +275,8 @@
     let alive = roster::alive(cx);
     let rank = alive.iter().filter(|(instance, _)| score(instance) < own).count() as u64;
     let mut seen = cx.slots.owned.seen.lock().expect("no thread panics while it holds the lock");
-    let since = *seen.entry(group).or_insert(now);
-    now.since(since) >= Millis(RANK_DELAY.0 * rank)
+    let since = *seen.entry(group).or_insert(now - TRY_INTERVAL);
+    now.since(since) >= TRY_INTERVAL + Millis(RANK_DELAY.0 * rank)
 }
 
 fn note_owner(cx: &context::Context, group: u16) {
--- a/damaskdrift/src/settings/limits.rs
+++ b/damaskdrift/src/settings/limits.rs
@@ -29,7 +29,7 @@
             read_timeout_ms: 10_000,
             connect_timeout_ms: 1_000,
             upstream_timeout_ms: 30_000,
-            queue_timeout_ms: 2_000,
+            queue_timeout_ms: 10_000,
             freshness_limit_ms: 2_000,
             fleet_max: 16,
         }
--- a/damaskdrift_core/src/admission/holder.rs
+++ b/damaskdrift_core/src/admission/holder.rs
@@ -123,10 +123,10 @@
 
     /// Counts requests that wait for a slot.
     pub fn wait(&mut self, upstream: &id::Upstream, change: i32, now: Millis) {
-        if let Some(entry) = self.entries.get_mut(upstream) {
-            entry.waiting = entry.waiting.saturating_add_signed(change);
-            entry.last_used = Some(now);
-        }
+        // A request may come before the upstream is configured here; it must be counted as well.
+        let entry = self.entries.entry(upstream.clone()).or_default();
+        entry.waiting = entry.waiting.saturating_add_signed(change);
+        entry.last_used = Some(now);
     }
 
     /// Returns the free slots at an upstream.
--- a/damaskdrift_core/tests/admission.rs
+++ b/damaskdrift_core/tests/admission.rs
@@ -345,3 +345,14 @@
     }
     assert_eq!(served.len(), FLEET, "served: {served:?}");
 }
+
+// Guards against a request that is forgotten because it came before its upstream was configured.
+#[test]
+fn waiting_counts_before_configuration() {
+    let upstream = id::Upstream::new("e1");
+    let mut holder = admission::Holder::new(16);
+    holder.wait(&upstream, 1, Millis(0));
+    holder.configure(&upstream, 4);
+    let demands = holder.demands(admission::group(&upstream), Millis(100));
+    assert_eq!(demands.iter().map(|demand| demand.wanted).collect::<Vec<_>>(), [1]);
+}
