--- a/damaskdrift/src/caller/attempts.rs
+++ b/damaskdrift/src/caller/attempts.rs
@@ -40,7 +40,7 @@
     ) -> Self {
         let leaving = cx.leaving_upstreams.load();
         targets.retain(|target| !leaving.contains(&target.id));
-        cx.upstreams.demote_unreachable(&mut targets);
+        cx.upstreams.demote_failing(&mut targets);
         cx.retry_budgets().add(workspace);
         Self { cx: cx.clone(), workspace: workspace.clone(), is_repeatable, targets, made: 0 }
     }
--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -120,6 +120,7 @@
         let response = match sent {
             Ok(response) => response,
             Err(failure) => {
+                self.cx.upstreams.note_failure(&stream.target);
                 slots::trouble(&self.cx, &stream.target.id);
                 let response;
                 (conn, response) = self.recover(stream, &conn, failure).await?;
--- a/damaskdrift/src/caller/once.rs
+++ b/damaskdrift/src/caller/once.rs
@@ -258,6 +258,7 @@
             }
             Err(failure) if !failure.sent => Err((sent.unsent(), failure)),
             Err(failure) => {
+                self.cx.upstreams.note_failure(target);
                 slots::trouble(&self.cx, &target.id);
                 self.call.observe_failure(target);
                 log::warn!("[{}] {request}: {failure}", failure.code.number());
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -112,6 +112,7 @@
         let mut conn = connected.inspect_err(|_| slots::trouble(&self.cx, &target.id))?;
         let answer = self.exchange(&mut conn, &self.request_id(target)).await;
         let answer = answer.inspect_err(|_| {
+            self.cx.upstreams.note_failure(target);
             slots::trouble(&self.cx, &target.id);
             self.observe_failure(target);
         })?;
--- a/damaskdrift/src/upstream/pool.rs
+++ b/damaskdrift/src/upstream/pool.rs
@@ -17,8 +17,8 @@
 const MAX_IDLE: usize = 64;
 /// Age at which an idle connection is closed; it is below the idle timeout of common servers.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
-/// Time for which an upstream that could not be connected to is tried last.
-const UNREACHABLE_FOR: Duration = Duration::from_secs(1);
+/// Time for which an upstream that failed is tried last.
+const TRIED_LAST_FOR: Duration = Duration::from_secs(1);
 /// Longest wait for an idle connection to finish its last exchange.
 const READY_WAIT: Duration = Duration::from_millis(20);
 
@@ -38,8 +38,8 @@
 pub struct Pool {
     timeouts: Timeouts,
     idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Idle>>>,
-    /// When connecting last failed.
-    unreachable: sync::Mutex<collections::HashMap<net::SocketAddr, Instant>>,
+    /// When a connection or an answer last failed.
+    failed: sync::Mutex<collections::HashMap<net::SocketAddr, Instant>>,
 }
 
 #[derive(Debug)]
@@ -61,7 +61,7 @@
     /// Creates an empty pool.
     pub fn new(limits: &settings::Limits) -> Self {
         let timeouts = Timeouts::new(limits);
-        Self { timeouts, idle: sync::Mutex::default(), unreachable: sync::Mutex::default() }
+        Self { timeouts, idle: sync::Mutex::default(), failed: sync::Mutex::default() }
     }
 
     /// Returns the longest waits on an upstream.
@@ -108,20 +108,25 @@
         Ok(conn)
     }
 
-    /// Moves targets that could not be connected to lately behind the others.
-    pub fn demote_unreachable(&self, targets: &mut [Target]) {
-        let unreachable = lock(&self.unreachable);
+    /// Notes that a target failed to answer a request; it is tried last for a short time.
+    pub fn note_failure(&self, target: &Target) {
+        self.note(target, false);
+    }
+
+    /// Moves targets that failed lately behind the others.
+    pub fn demote_failing(&self, targets: &mut [Target]) {
+        let failed = lock(&self.failed);
         targets.sort_by_key(|target| {
-            unreachable.get(&target.address).is_some_and(|at| at.elapsed() < UNREACHABLE_FOR)
+            failed.get(&target.address).is_some_and(|at| at.elapsed() < TRIED_LAST_FOR)
         });
     }
 
-    fn note(&self, target: &Target, is_reachable: bool) {
-        let mut unreachable = lock(&self.unreachable);
-        if is_reachable {
-            unreachable.remove(&target.address);
+    fn note(&self, target: &Target, is_ok: bool) {
+        let mut failed = lock(&self.failed);
+        if is_ok {
+            failed.remove(&target.address);
         } else {
-            unreachable.insert(target.address, Instant::now());
+            failed.insert(target.address, Instant::now());
         }
     }
 
