--- a/damaskdrift/src/caller/once.rs
+++ b/damaskdrift/src/caller/once.rs
@@ -193,7 +193,7 @@
             };
             let refusal = match self.connect(&target, &slot).await {
                 Ok(conn) => {
-                    let sent = match self.allow(claimed) {
+                    let sent = match self.allow(claimed, &target) {
                         Ok(sent) => sent,
                         Err(refused) => return Err(refused),
                     };
@@ -207,7 +207,7 @@
                 }
                 Err(failure) => failure,
             };
-            slots::trouble(&self.cx, &target.id);
+            slots::lost(&self.cx, &target.id);
             drop(slot);
             if !attempts.may_retry(code::Outcome::NotRun).await {
                 return Err((claimed, refusal.into()));
@@ -229,8 +229,9 @@
     fn allow(
         &self,
         claimed: idempotency::Call<Claimed>,
+        target: &upstream::Target,
     ) -> std::result::Result<idempotency::Call<Sent>, (idempotency::Call<Claimed>, Refusal)> {
-        if let Err(code) = freshness::check(&self.cx) {
+        if let Err(code) = freshness::check_upstream(&self.cx, &target.id) {
             return Err((claimed, code.into()));
         }
         if Instant::now() >= self.deadline {
@@ -259,7 +260,7 @@
             Err(failure) if !failure.sent => Err((sent.unsent(), failure)),
             Err(failure) => {
                 self.cx.upstreams.note_failure(target);
-                slots::trouble(&self.cx, &target.id);
+                slots::lost(&self.cx, &target.id);
                 self.call.observe_failure(target);
                 log::warn!("[{}] {request}: {failure}", failure.code.number());
                 Ok((sent.broken(&failure.message), Err(failure.into())))
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -19,7 +19,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, once, request_id, route};
 use crate::context;
-use crate::control::{freshness, observe, slots};
+use crate::control::{freshness, observe, roster, slots};
 use crate::upstream;
 
 /// Largest answer of a service, in bytes.
@@ -109,11 +109,12 @@
     ) -> Result<Answer, Refusal> {
         let boot = slot.boot.as_ref();
         let connected = self.cx.upstreams.connect(target, boot).await;
-        let mut conn = connected.inspect_err(|_| slots::trouble(&self.cx, &target.id))?;
+        let mut conn = connected.inspect_err(|_| slots::lost(&self.cx, &target.id))?;
+        freshness::check_upstream(&self.cx, &target.id)?;
         let answer = self.exchange(&mut conn, &self.request_id(target)).await;
         let answer = answer.inspect_err(|_| {
             self.cx.upstreams.note_failure(target);
-            slots::trouble(&self.cx, &target.id);
+            slots::lost(&self.cx, &target.id);
             self.observe_failure(target);
         })?;
         self.observe(target, answer.status);
@@ -190,6 +191,7 @@
     /// Returns a refusal when the workspace may not use the service.
     pub fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
         let services = self.caller.fleet.services(&self.service, self.policy()?);
+        let services = services.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             services.filter_map(|(id, service)| upstream::Target::new(id, service)).collect();
         upstream::rank(&mut targets, &rand::random::<[u8; 16]>());
--- a/damaskdrift_lab/src/server.rs
+++ b/damaskdrift_lab/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert;
 use std::net;
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::body::Incoming;
@@ -11,12 +12,17 @@
 use hyper_util::service::TowerToHyperService;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
+use tokio::time;
 use warp::Filter;
 use warp::http::StatusCode;
 use warp::reply::{Reply, Response};
 
 use crate::error;
+use crate::standin;
+
+/// Pause after a connection could not be accepted, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Marks a response that must not be sent; the connection is closed instead.
 #[derive(Clone, Copy, Debug)]
@@ -59,15 +65,17 @@
     F::Future: Send,
     R: Reply + Send,
 {
-    let listen = |error| error::Error::Io(format!("cannot listen on {address}"), error);
-    let listener = TcpListener::bind(address).await.map_err(listen)?;
-    println!("listening on {}", listener.local_addr().map_err(listen)?);
+    let listener = standin::listen(address).await?;
     let filter = TowerToHyperService::new(warp::service(filter));
     loop {
-        let (stream, _) = listener.accept().await.map_err(listen)?;
-        if let Err(error) = stream.set_nodelay(true) {
-            eprintln!("cannot set TCP_NODELAY: {error}");
-        }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                eprintln!("cannot accept on {address}: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
         tokio::spawn(serve(TokioIo::new(stream), filter.clone()));
     }
 }
