Read requests to their end when the caller goes away

Cause: a handler that hyper dropped with its connection gave the slot back while the engine went on with the request, and could leave a count of waiting requests behind. Change: requests run in tasks of their own and begin no attempt for a caller that has gone; waiting requests are woken when their upstream is configured (control/slots). Two tests wait for the run they disturb instead of a fixed time.

--- a/damaskdrift/src/caller/attempts.rs
+++ b/damaskdrift/src/caller/attempts.rs
@@ -6,6 +6,8 @@
 use damaskdrift_core::code;
 use damaskdrift_core::id;
 use damaskdrift_core::retry;
+use tokio_util::sync::CancellationToken;
+use warp::reply::Response;
 
 use crate::caller::refusal::Refusal;
 use crate::context;
@@ -20,6 +22,7 @@
     /// Upstreams that are left to try, best first.
     targets: Vec<upstream::Target>,
     made: u32,
+    gone: CancellationToken,
 }
 
 /// An upstream that takes one attempt.
@@ -31,18 +34,36 @@
 }
 
 impl Attempts {
-    /// Begins the attempts of a request, over upstreams that are sorted best first.
+    /// Begins the attempts of a request that may be repeated, over upstreams sorted best first.
     pub fn new(
         cx: &sync::Arc<context::Context>,
         workspace: &id::Workspace,
-        is_repeatable: bool,
         mut targets: Vec<upstream::Target>,
     ) -> Self {
         let leaving = cx.leaving_upstreams.load();
         targets.retain(|target| !leaving.contains(&target.id));
         cx.upstreams.demote_failing(&mut targets);
         cx.retry_budgets().add(workspace);
-        Self { cx: cx.clone(), workspace: workspace.clone(), is_repeatable, targets, made: 0 }
+        Self {
+            cx: cx.clone(),
+            workspace: workspace.clone(),
+            is_repeatable: true,
+            targets,
+            made: 0,
+            gone: CancellationToken::new(),
+        }
+    }
+
+    /// Forbids another attempt after one that may have run.
+    pub fn with_single_run(mut self) -> Self {
+        self.is_repeatable = false;
+        self
+    }
+
+    /// Begins no attempt once the caller has gone away.
+    pub fn with_caller_gone(mut self, gone: CancellationToken) -> Self {
+        self.gone = gone;
+        self
     }
 
     /// Returns the next upstream with a slot: the best one that has a slot at once, else the best
@@ -52,7 +73,18 @@
     ///
     /// Returns a refusal when no upstream is left or none has a slot in time.
     pub async fn place(&mut self) -> Result<Placed, Refusal> {
+        let placed = self.find().await?;
+        if self.gone.is_cancelled() {
+            return Err(Refusal::new(code::Code::Internal, "the caller has gone away"));
+        }
+        Ok(placed)
+    }
+
+    async fn find(&mut self) -> Result<Placed, Refusal> {
         for i in 0..self.targets.len() {
+            if slots::available(&self.cx, &self.targets[i].id) == 0 {
+                continue;
+            }
             if let Ok(slot) = self.acquire(i, Duration::ZERO).await {
                 return Ok(self.take(i, slot));
             }
@@ -101,3 +133,25 @@
         Placed { target: self.targets.remove(i), slot }
     }
 }
+
+/// Runs a request in a task of its own. If the caller goes away, what was sent is still read to its
+/// end, because the engine goes on with it and the slot must cover it until then.
+///
+/// # Errors
+///
+/// Returns the refusal of the request.
+pub async fn detach<F>(
+    cx: &context::Context,
+    work: impl FnOnce(CancellationToken) -> F,
+) -> Result<Response, Refusal>
+where
+    F: Future<Output = Result<Response, Refusal>> + Send + 'static,
+{
+    let gone = CancellationToken::new();
+    let guard = gone.clone().drop_guard();
+    let answer = cx.tasks.spawn(work(gone)).await;
+    guard.disarm();
+    answer.unwrap_or_else(|_| {
+        Err(Refusal::unknown(code::Code::Internal, "the task that ran the request ended early"))
+    })
+}
--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -13,9 +13,10 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
+use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
 
-use crate::caller::attempts::{Attempts, Placed};
+use crate::caller::attempts::{self, Attempts, Placed};
 use crate::caller::prompt::Prompt;
 use crate::caller::refusal::Refusal;
 use crate::caller::relay;
@@ -77,8 +78,15 @@
     ///
     /// Returns a refusal when no engine answers.
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
+        let cx = self.cx.clone();
+        attempts::detach(&cx, |gone| async move { self.answer(gone).await }).await
+    }
+
+    async fn answer(&self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
-        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, self.targets()?);
+        let workspace = &self.caller.workspace;
+        let mut attempts =
+            Attempts::new(&self.cx, workspace, self.targets()?).with_caller_gone(gone);
         loop {
             let placed = attempts.place().await?;
             let refusal = match self.attempt(placed).await {
--- a/damaskdrift/src/caller/once.rs
+++ b/damaskdrift/src/caller/once.rs
@@ -185,7 +185,7 @@
             Err(refusal) => return Err((claimed, refusal)),
         };
         let workspace = &self.call.caller.workspace;
-        let mut attempts = Attempts::new(&self.cx, workspace, false, targets);
+        let mut attempts = Attempts::new(&self.cx, workspace, targets).with_single_run();
         loop {
             let Placed { target, slot } = match attempts.place().await {
                 Ok(placed) => placed,
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -12,9 +12,10 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Request, StatusCode};
+use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
 
-use crate::caller::attempts::{Attempts, Placed};
+use crate::caller::attempts::{self, Attempts, Placed};
 use crate::caller::refusal::Refusal;
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, once, request_id, route};
@@ -88,7 +89,14 @@
             let key = self.key()?.to_owned();
             return once::run(self, &key).await.map(Answer::into_response);
         }
-        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, self.targets()?);
+        let cx = self.cx.clone();
+        attempts::detach(&cx, |gone| async move { self.repeat(gone).await }).await
+    }
+
+    async fn repeat(&self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
+        let workspace = &self.caller.workspace;
+        let mut attempts =
+            Attempts::new(&self.cx, workspace, self.targets()?).with_caller_gone(gone);
         loop {
             let Placed { target, slot } = attempts.place().await?;
             let refusal = match self.attempt(&target, &slot).await {
--- a/damaskdrift/src/control/slots/ask.rs
+++ b/damaskdrift/src/control/slots/ask.rs
@@ -102,10 +102,11 @@
     if std::mem::replace(configured, fleet.revision) == fleet.revision {
         return;
     }
-    let mut holder = cx.slots.holder();
     for (name, upstream) in &fleet.document.upstreams {
         if let Some((cold, _)) = limits(&upstream.kind) {
-            holder.configure(name, cold);
+            cx.slots.holder().configure(name, cold);
+            // A request may have waited for an upstream that was not configured yet.
+            cx.slots.freed(name).notify_waiters();
         }
     }
 }
--- a/damaskdrift_lab/tests/at_most_once.rs
+++ b/damaskdrift_lab/tests/at_most_once.rs
@@ -115,7 +115,9 @@
         builder().with_service_args(&["--delay-ms", "1000"]).start().await.expect("a fleet");
     let (http, call) = (fleet.http.clone(), lodge(&fleet, 0, "k1", "notice"));
     let call = tokio::spawn(async move { http.send(call).await });
-    tokio::time::sleep(Duration::from_millis(400)).await;
+    while runs(&fleet).await.is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
     fleet.instances[0].process.kill().expect("the instance is killed");
     assert!(call.await.expect("the task ends").is_err());
     let again = fleet.http.send(lodge(&fleet, 1, "k1", "notice")).await.expect("an answer");
@@ -149,7 +151,9 @@
     let fleet = builder().with_service_args(&["--delay-ms", "500"]).start().await.expect("a fleet");
     let call = fleet.http.send(lodge(&fleet, 0, "k1", "notice"));
     let outage = async {
-        tokio::time::sleep(Duration::from_millis(250)).await;
+        while runs(&fleet).await.is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
         fleet.key_value.set_fault(&json!({"outage": true})).await.expect("the fault is set");
     };
     let (first, ()) = tokio::join!(call, outage);
