--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -1,7 +1,7 @@
 //! Answers prompts.
 
 use std::sync;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use damaskdrift_core::code;
@@ -14,13 +14,14 @@
 use hyper::{HeaderMap, Request, Response};
 use warp::Reply as _;
 
+use crate::caller::attempts::{Attempts, Placed};
 use crate::caller::prompt::Prompt;
 use crate::caller::refusal::Refusal;
 use crate::caller::relay;
 use crate::caller::request::{self, Caller};
-use crate::caller::{answer, request_id};
+use crate::caller::{answer, request_id, resume};
 use crate::context;
-use crate::control::{cache, freshness, observe, slots};
+use crate::control::{cache, freshness, observe, roster, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, 0 highest to 3.
@@ -32,6 +33,15 @@
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// An engine's answer that has begun.
+struct Answering {
+    stream: relay::StreamId,
+    conn: upstream::Connection,
+    response: Response<Incoming>,
+    slot: slots::Slot,
+    sent: cache::Sent,
+}
+
 /// A prompt on its way to an engine.
 pub struct Dispatch {
     cx: sync::Arc<context::Context>,
@@ -74,61 +84,99 @@
         freshness::check(&self.cx)?;
         let mut targets = self.targets()?;
         let fleet = &self.caller.fleet;
-        let placed = cache::place(&self.cx, fleet, &self.cached, &mut targets).await;
-        let mut refusal = Refusal::from(code::Code::NoUpstream);
-        for target in targets {
-            match self.attempt(target, placed.as_ref()).await {
-                Ok(response) => return Ok(response),
-                Err(other) => refusal = other,
+        let plan = cache::place(&self.cx, fleet, &self.cached, &mut targets).await;
+        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, targets);
+        loop {
+            let placed = attempts.place().await?;
+            if let Some(plan) = &plan {
+                cache::import(&self.cx, &self.cached, plan, &placed.target).await;
             }
-            if refusal.outcome != code::Outcome::NotRun {
-                break;
+            let refusal = match self.attempt(placed).await {
+                Ok(response) => return Ok(response),
+                Err(refusal) => refusal,
+            };
+            if !attempts.may_retry(refusal.outcome).await {
+                return Err(refusal);
             }
         }
-        Err(refusal)
     }
 
-    async fn attempt(
+    async fn attempt(&self, placed: Placed) -> Result<warp::reply::Response, Refusal> {
+        let Placed { target, slot } = placed;
+        let secret = &self.caller.fleet.document.secret;
+        let workspace = self.caller.workspace.clone();
+        let request = request_id::generate(secret, &workspace, &target.id);
+        let stream = relay::StreamId { target, request, workspace };
+        let connected = self.cx.upstreams.connect(&stream.target, slot.boot.as_ref()).await;
+        let conn = connected.inspect_err(|_| slots::lost(&self.cx, &stream.target.id))?;
+        freshness::check_upstream(&self.cx, &stream.target.id)?;
+        let mut observation = self.observation(&stream.target, &conn);
+        let answered = self.exchange(&stream, conn, slot, &observation).await;
+        if answered.is_err() {
+            observation.first_token = None;
+            observe::record(&self.cx, &observation);
+        }
+        answered
+    }
+
+    async fn exchange(
         &self,
-        target: upstream::Target,
-        placed: Option<&cache::Placed>,
+        stream: &relay::StreamId,
+        mut conn: upstream::Connection,
+        slot: slots::Slot,
+        observation: &observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
-        if let Some(placed) = placed {
-            cache::import(&self.cx, &self.cached, placed, &target).await;
-        }
-        let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
-        let slot = slots::acquire(&self.cx, &target.id, wait).await?;
-        let mut conn = self.cx.upstreams.connect(&target, slot.boot.as_ref()).await?;
-        let secret = &self.caller.fleet.document.secret;
-        let request = request_id::generate(secret, &self.caller.workspace, &target.id);
-        let req = self.request(&request);
-        let sent = cache::sent(&self.cx, &self.cached, &target.id);
-        let response = conn.send(req, self.cx.upstreams.timeouts().answer).await?;
+        let wait = self.cx.upstreams.timeouts().answer;
+        let sent = cache::sent(&self.cx, &self.cached, &stream.target.id);
+        let response = match conn.send(self.request(&stream.request), wait).await {
+            Ok(response) => response,
+            Err(failure) => {
+                slots::lost(&self.cx, &stream.target.id);
+                let response;
+                (conn, response) = self.recover(stream, &conn, failure).await?;
+                response
+            }
+        };
         if response.status().is_server_error() {
-            let message = format!("{} answered with status {}", target.id, response.status());
+            let message =
+                format!("{} answered with status {}", stream.target.id, response.status());
             return Err(Refusal::unknown(code::Code::UpstreamError, &message));
         }
-        let workspace = self.caller.workspace.clone();
-        let stream = relay::StreamId { target, request, workspace };
-        if is_event_stream(response.headers()) {
-            self.stream(stream, conn, response, slot, sent).await
+        let answer = Answering { stream: stream.clone(), conn, response, slot, sent };
+        if is_event_stream(answer.response.headers()) {
+            self.stream(answer, observation.clone()).await
         } else {
-            self.whole(stream, conn, response, sent).await
+            self.whole(answer, observation.clone()).await
+        }
+    }
+
+    /// Looks for the answer of a request whose connection broke before the answer began: the engine
+    /// may have taken the request and keep its stream.
+    async fn recover(
+        &self,
+        stream: &relay::StreamId,
+        conn: &upstream::Connection,
+        failure: upstream::Failure,
+    ) -> Result<(upstream::Connection, Response<Incoming>), upstream::Failure> {
+        let is_kept = failure.sent && failure.code == code::Code::UpstreamBroken;
+        if !self.prompt.is_stream || !is_kept {
+            return Err(failure);
+        }
+        match resume::open(&self.cx, stream, conn.boot.as_ref(), 0).await {
+            Ok((conn, response)) if response.status().is_success() => Ok((conn, response)),
+            _ => Err(failure),
         }
     }
 
     async fn stream(
         &self,
-        stream: relay::StreamId,
-        conn: upstream::Connection,
-        response: Response<Incoming>,
-        slot: slots::Slot,
-        sent: cache::Sent,
+        answer: Answering,
+        mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
+        let Answering { stream, conn, response, slot, sent } = answer;
+        let upstream = stream.target.id.clone();
         let (head, body) = response.into_parts();
         let head = answer::Head::new(&head, &stream.request);
-        let mut observation = self.observation(&stream.target, &conn);
-        let upstream = stream.target.id.clone();
         let mut source = relay::Source::new(&self.cx, stream, conn, Some(body), 0).with_slot(slot);
         let first = source.next().await?;
         drop(sent);
@@ -147,16 +195,15 @@
 
     async fn whole(
         &self,
-        stream: relay::StreamId,
-        conn: upstream::Connection,
-        mut response: Response<Incoming>,
-        sent: cache::Sent,
+        answer: Answering,
+        mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
+        let Answering { stream, conn, mut response, slot: _slot, sent } = answer;
         let wait = self.cx.upstreams.timeouts().answer;
-        let body = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await?;
+        let read = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await;
+        let body = read.inspect_err(|_| slots::lost(&self.cx, &stream.target.id))?;
         drop(sent);
         let (head, _) = response.into_parts();
-        let mut observation = self.observation(&stream.target, &conn);
         observation.succeeded = true;
         observation.first_token = Some(self.started.elapsed().into());
         if !head.status.is_client_error() {
@@ -186,6 +233,7 @@
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
         let route = route(&self.caller, &self.prompt)?;
         let engines = self.caller.fleet.engines(&self.prompt.model, route);
+        let engines = engines.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             engines.filter_map(|(id, engine)| upstream::Target::new(id, engine)).collect();
         upstream::rank(&mut targets, &self.prompt.root);
--- a/damaskdrift/src/control/mod.rs
+++ b/damaskdrift/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod cache;
 pub mod freshness;
 pub mod heartbeat;
+pub mod lease;
 pub mod lifecycle;
 pub mod observe;
 pub mod roster;
