--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use damaskdrift_core::block;
 use damaskdrift_core::code;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
@@ -23,7 +22,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, request_id, resume};
 use crate::context;
-use crate::control::{freshness, observe, roster, slots};
+use crate::control::{cache, freshness, observe, roster, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, 0 highest to 3.
@@ -41,6 +40,7 @@
     conn: upstream::Connection,
     response: Response<Incoming>,
     slot: slots::Slot,
+    sent: cache::Sent,
 }
 
 /// A prompt on its way to an engine.
@@ -51,6 +51,7 @@
     path: &'static str,
     priority: u8,
     version: id::Version,
+    cached: cache::Prompt,
     started: Instant,
 }
 
@@ -69,7 +70,10 @@
     ) -> Result<Self, Refusal> {
         let priority = parse_priority(headers)?;
         let version = route(&caller, &prompt)?.version.clone();
-        Ok(Self { cx, caller, prompt, path, priority, version, started: Instant::now() })
+        let secret = &caller.fleet.document.secret;
+        let (workspace, model) = (&caller.workspace, &prompt.model);
+        let cached = cache::Prompt::new(secret, workspace, model, &version, &prompt.text);
+        Ok(Self { cx, caller, prompt, path, priority, version, cached, started: Instant::now() })
     }
 
     /// Sends the prompt to an engine and returns its answer.
@@ -84,11 +88,16 @@
 
     async fn answer(&self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
+        let mut targets = self.targets()?;
+        let fleet = &self.caller.fleet;
+        let plan = cache::place(&self.cx, fleet, &self.cached, &mut targets).await;
         let workspace = &self.caller.workspace;
-        let mut attempts =
-            Attempts::new(&self.cx, workspace, self.targets()?).with_caller_gone(gone);
+        let mut attempts = Attempts::new(&self.cx, workspace, targets).with_caller_gone(gone);
         loop {
             let placed = attempts.place().await?;
+            if let Some(plan) = &plan {
+                cache::import(&self.cx, &self.cached, plan, &placed.target).await;
+            }
             let refusal = match self.attempt(placed).await {
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
@@ -125,8 +134,8 @@
         observation: &observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
         let wait = self.cx.upstreams.timeouts().answer;
-        let sent = conn.send(self.request(&stream.request), wait).await;
-        let response = match sent {
+        let sent = cache::sent(&self.cx, &self.cached, &stream.target.id);
+        let response = match conn.send(self.request(&stream.request), wait).await {
             Ok(response) => response,
             Err(failure) => {
                 self.cx.upstreams.note_failure(&stream.target);
@@ -141,7 +150,7 @@
                 format!("{} answered with status {}", stream.target.id, response.status());
             return Err(Refusal::unknown(code::Code::UpstreamError, &message));
         }
-        let answer = Answering { stream: stream.clone(), conn, response, slot };
+        let answer = Answering { stream: stream.clone(), conn, response, slot, sent };
         if is_event_stream(answer.response.headers()) {
             self.stream(answer, observation.clone()).await
         } else {
@@ -172,11 +181,14 @@
         answer: Answering,
         mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
-        let Answering { stream, conn, response, slot } = answer;
+        let Answering { stream, conn, response, slot, sent } = answer;
+        let upstream = stream.target.id.clone();
         let (head, body) = response.into_parts();
         let head = answer::Head::new(&head, &stream.request);
         let mut source = relay::Source::new(&self.cx, stream, conn, Some(body), 0).with_slot(slot);
         let first = source.next().await?;
+        drop(sent);
+        cache::computed(&self.cx, &self.caller.fleet, &self.cached, &upstream);
         observation.first_token = Some(self.started.elapsed().into());
         let (tx, rx) = relay::channel();
         let cx = self.cx.clone();
@@ -194,14 +206,16 @@
         answer: Answering,
         mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
-        let Answering { stream, conn, mut response, slot: _slot } = answer;
+        let Answering { stream, conn, mut response, slot: _slot, sent } = answer;
         let wait = self.cx.upstreams.timeouts().answer;
         let read = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await;
         let body = read.inspect_err(|_| slots::lost(&self.cx, &stream.target.id))?;
+        drop(sent);
         let (head, _) = response.into_parts();
         observation.succeeded = true;
         observation.first_token = Some(self.started.elapsed().into());
         if !head.status.is_client_error() {
+            cache::computed(&self.cx, &self.caller.fleet, &self.cached, &stream.target.id);
             observe::record(&self.cx, &observation);
         }
         if let Some(boot) = &conn.boot {
@@ -214,13 +228,11 @@
 
     fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
         let workspace = &self.caller.workspace;
-        let secret = &self.caller.fleet.document.secret;
-        let root = block::root(secret, workspace, &self.prompt.model);
         Request::post(self.path)
             .header(header::CONTENT_TYPE, "application/json")
             .header(answer::REQUEST_ID, request.as_str())
             .header("x-workspace", workspace.as_str())
-            .header("x-cache-root", root.to_string())
+            .header("x-cache-root", self.cached.root.to_string())
             .header(PRIORITY, u16::from(self.priority))
             .body(Full::new(self.prompt.body.clone()))
             .expect("ids and numbers are valid header values")
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -124,5 +124,7 @@
     tokio::spawn(control::heartbeat::run(cx.clone()));
     tokio::spawn(control::sync::run(cx.clone()));
     control::slots::start(cx);
+    tokio::spawn(control::cache::run_polls(cx.clone()));
+    tokio::spawn(control::cache::run_exports(cx.clone()));
     Ok(())
 }
