--- a/damaskdrift_lab/src/harness/fleet.rs
+++ b/damaskdrift_lab/src/harness/fleet.rs
@@ -6,6 +6,8 @@
 
 use damaskdrift_core::fleet::{Document, Kind};
 use damaskdrift_core::id;
+use hyper::Method;
+use serde_json::json;
 use tempfile::TempDir;
 
 use crate::error::Error;
@@ -371,6 +373,34 @@
         Ok(())
     }
 
+    /// Sends each instance one prompt, and one read to the plain service if there is one, until
+    /// they are answered.
+    ///
+    /// An instance is ready before the limit owners have granted it slots; until then it refuses
+    /// with the outcome `not-run`.
+    ///
+    /// # Errors
+    ///
+    /// Returns which instance does not answer.
+    pub async fn warm_up(&self, limit: Duration) -> Result<(), Error> {
+        let prompt = json!({"model": MODEL, "prompt": "warm-up", "max_tokens": 1});
+        for instance in &self.instances {
+            let mut calls = Vec::new();
+            if !self.engines.is_empty() {
+                let call = instance.call(Method::POST, "/v1/completions", KEY);
+                calls.push(call.with_json(&prompt));
+            }
+            if !self.services.is_empty() {
+                let path = format!("/v1/services/{SERVICE}/warm-up");
+                calls.push(instance.call(Method::GET, &path, KEY));
+            }
+            for call in calls {
+                self.http.send_until_run(call, limit).await?.ok()?;
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the link between an instance and the key-value service.
     ///
     /// # Panics
--- a/damaskdrift_lab/src/harness/http.rs
+++ b/damaskdrift_lab/src/harness/http.rs
@@ -20,6 +20,10 @@
 
 /// Longest time for an answer, or between two pieces of a stream, unless a call sets its own.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause before a refused call is sent again.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+/// Outcome of a refusal before anything was sent to an upstream.
+const NOT_RUN: &str = "not-run";
 /// Start of a line that carries the data of a server-sent event.
 const DATA_PREFIX: &str = "data:";
 /// Ends a server-sent event.
@@ -147,6 +151,43 @@
         })
     }
 
+    /// Sends a call again while it is refused with the outcome `not-run`, up to a time limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no complete answer.
+    pub async fn send_until_run(&self, call: Call, limit: Duration) -> Result<Answer, Error> {
+        let deadline = Instant::now() + limit;
+        loop {
+            let answer = self.send(call.clone()).await?;
+            if answer.outcome().as_deref() != Some(NOT_RUN) || Instant::now() >= deadline {
+                return Ok(answer);
+            }
+            time::sleep(REFUSAL_PAUSE).await;
+        }
+    }
+
+    /// Opens a stream, again while it is refused with the outcome `not-run`, up to a time limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the answer did not start, or the last refusal.
+    pub async fn stream_until_run(&self, call: Call, limit: Duration) -> Result<Stream, Error> {
+        let deadline = Instant::now() + limit;
+        loop {
+            let mut stream = self.stream(call.clone()).await?;
+            if stream.status < 400 {
+                return Ok(stream);
+            }
+            let refusal = stream.rest().await?;
+            if outcome(&refusal).as_deref() != Some(NOT_RUN) || Instant::now() >= deadline {
+                let text = String::from_utf8_lossy(&refusal);
+                return Err(Error::Malformed(format!("status {}: {text}", stream.status)));
+            }
+            time::sleep(REFUSAL_PAUSE).await;
+        }
+    }
+
     async fn request(&self, call: Call) -> Result<hyper::Response<Incoming>, Error> {
         let req = call.into_request()?;
         self.http.request(req).await.map_err(|error| {
@@ -253,6 +294,11 @@
             .map_err(|error| Error::Malformed(format!("{error} in {:?}", self.text())))
     }
 
+    /// Returns the outcome that a refusal states.
+    pub fn outcome(&self) -> Option<String> {
+        outcome(&self.body)
+    }
+
     /// Returns the answer if its status is 200.
     ///
     /// # Errors
@@ -338,6 +384,11 @@
     }
 }
 
+fn outcome(body: &[u8]) -> Option<String> {
+    let body: serde_json::Value = serde_json::from_slice(body).ok()?;
+    body["error"]["outcome"].as_str().map(str::to_owned)
+}
+
 fn event_data(event: &[u8]) -> String {
     let text = String::from_utf8_lossy(event);
     let lines = text.lines().filter_map(|line| line.strip_prefix(DATA_PREFIX));
--- a/damaskdrift_lab/src/harness/instance.rs
+++ b/damaskdrift_lab/src/harness/instance.rs
@@ -91,7 +91,8 @@
     /// Returns why it could not be started.
     pub fn start(settings: &Settings, folder: &Path, http: &Client) -> Result<Self, Error> {
         let config = folder.join(format!("{}.toml", settings.id));
-        let token = folder.join("operator-token");
+        // Each instance has its own file, because another may read its file at this moment.
+        let token = folder.join(format!("{}.token", settings.id));
         write(&token, OPERATOR_TOKEN)?;
         write(&config, &settings.to_toml(&token)?)?;
         Ok(Self {
