--- a/damaskdrift_core/src/rollout/collector.rs
+++ b/damaskdrift_core/src/rollout/collector.rs
@@ -58,6 +58,7 @@
 struct Load {
     slots: collections::VecDeque<u32>,
     slot: u64,
+    peak: u32,
 }
 
 impl Collector {
@@ -104,22 +105,28 @@
     /// Counts a request and returns the band of the present load.
     fn count(&mut self, now: Millis) -> Band {
         let slot = now.0 / LOAD_SLOT.0;
-        let skipped = slot.saturating_sub(self.slot).min(PEAK_SLOTS as u64);
-        for _ in 0..skipped {
-            self.slots.push_back(0);
+        if slot > self.slot || self.slots.is_empty() {
+            self.advance(slot);
         }
-        self.slot = self.slot.max(slot);
-        while self.slots.len() > PEAK_SLOTS {
-            self.slots.pop_front();
-        }
-        match self.slots.back_mut() {
-            Some(last) => *last += 1,
-            None => self.slots.push_back(1),
+        if let Some(last) = self.slots.back_mut() {
+            *last += 1;
         }
         let present: u32 = self.slots.iter().rev().take(LOAD_SLOTS).sum();
-        let (front, back) = self.slots.as_slices();
+        self.peak = self.peak.max(present);
+        if 2 * present >= self.peak { Band::High } else { Band::Low }
+    }
+
+    /// Starts a slot and takes the peak anew, so that it is not done for each request.
+    fn advance(&mut self, slot: u64) {
+        let skipped = slot.saturating_sub(self.slot).clamp(1, PEAK_SLOTS as u64);
+        for _ in 0..skipped {
+            self.slots.push_back(0);
+        }
+        self.slot = slot;
+        let excess = self.slots.len().saturating_sub(PEAK_SLOTS);
+        self.slots.drain(..excess);
         let sum = |window: &[u32]| window.iter().sum::<u32>();
-        let peak = front.windows(LOAD_SLOTS).chain(back.windows(LOAD_SLOTS)).map(sum).max();
-        if 2 * present >= peak.unwrap_or(0) { Band::High } else { Band::Low }
+        let peak = self.slots.make_contiguous().windows(LOAD_SLOTS).map(sum).max();
+        self.peak = peak.unwrap_or(0);
     }
 }
--- a/damaskdrift_core/src/rollout/plan.rs
+++ b/damaskdrift_core/src/rollout/plan.rs
@@ -15,7 +15,9 @@
 const DWELL_PARTS: u64 = 16;
 /// Log likelihood ratio that growth from each step needs. The first is low, because the step after
 /// it still has no more than 2% of the traffic.
-const NEEDED: [f64; STEPS.len()] = [0.5, 2.3, 2.3, 2.3, 3.0, 4.6, 4.6];
+const NEEDED: [f64; STEPS.len()] = [0.5, 1.2, 1.8, 2.3, 3.0, 4.6, 4.6];
+/// Part of it that suffices when the deadline is at risk.
+const LATE_PART: f64 = 0.5;
 /// Log likelihood ratio that one success gives at the usual error rate.
 const PER_SUCCESS: f64 = 0.05;
 
@@ -45,10 +47,12 @@
     pub outlook: Outlook,
     /// Shortest time at the present step.
     pub dwell: Millis,
+    /// Log likelihood ratio that growth from the present step needs.
+    pub needed: f64,
 }
 
 /// Returns the log likelihood ratio that growth from a step needs.
-pub(super) fn needed(step: usize) -> f64 {
+fn needed(step: usize) -> f64 {
     NEEDED[step.min(NEEDED.len() - 1)]
 }
 
@@ -68,8 +72,10 @@
     }
     let next = latest_starts.get(m.step + 1).copied().unwrap_or(m.deadline);
     let is_late = now > next;
-    let dwell = if is_late { MIN_DWELL } else { dwell(m) };
-    Plan { latest_starts, outlook: outlook(m, now, rate, is_late), dwell }
+    let left = next.0.saturating_sub(m.step_started.0);
+    let dwell = dwell(m).min(Millis(left)).max(MIN_DWELL);
+    let needed = needed(m.step) * if is_late { LATE_PART } else { 1.0 };
+    Plan { latest_starts, outlook: outlook(m, now, rate, is_late), dwell, needed }
 }
 
 fn outlook(m: &fleet::Move, now: UnixMillis, rate: f64, is_late: bool) -> Outlook {
--- /dev/null
+++ b/damaskdrift_lab/src/experiment/version_moves/mod.rs
@@ -0,0 +1,156 @@
+//! Experiment `version-moves`: rollout by evidence against a fixed-step rollout.
+
+mod fleet_model;
+mod scenario;
+mod simulation;
+
+use std::process;
+use std::thread;
+
+use lexopt::ValueExt as _;
+
+use crate::error::Error;
+use scenario::{Class, Scenario};
+use simulation::{Policy, Result as Outcome};
+
+/// Moves of one run.
+const MOVES: usize = 200;
+/// Largest allowed share of a move's requests to a bad version before detection.
+const MAX_EXPOSURE: f64 = 0.02;
+
+/// Tells whether a move counts for a measure.
+type IsCounted = fn(&Scenario, &Outcome) -> bool;
+
+const HELP: &str = "\
+Drive 200 moves of a seeded load in virtual time
+
+Usage: damaskdrift_lab experiment version-moves [--seed N]
+
+Half of the moves go to a bad version (failing or slow; at once, late, under load or on one
+route), 20 to a good one that starts cold; a third see an outage of the key-value service.
+";
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Returns which argument is wrong.
+pub fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
+    let mut seed: u64 = 1;
+    while let Some(arg) = args.next()? {
+        match arg {
+            lexopt::Arg::Long("seed") => seed = args.value()?.parse()?,
+            lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(process::ExitCode::SUCCESS);
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let scenarios: Vec<_> = (0..MOVES).map(|index| Scenario::new(seed, index)).collect();
+    let baseline = simulate_all(&scenarios, Policy::FixedSteps);
+    let evidence = simulate_all(&scenarios, Policy::Evidence);
+    println!("version-moves, seed {seed}, {MOVES} moves; baseline: fixed steps without evidence");
+    for line in lines(&scenarios, &baseline, &evidence) {
+        println!("{line}");
+    }
+    for (scenario, outcome) in scenarios.iter().zip(&evidence) {
+        if let Some(cause) = miss(scenario, outcome) {
+            println!("missed: {scenario}: {cause}");
+        }
+    }
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn simulate_all(scenarios: &[Scenario], policy: Policy) -> Vec<Outcome> {
+    let threads = thread::available_parallelism().map_or(1, |n| n.get().div_ceil(2));
+    let part = scenarios.len().div_ceil(threads);
+    thread::scope(|scope| {
+        let mut parts = Vec::new();
+        for part in scenarios.chunks(part) {
+            let run = move || part.iter().map(|s| simulation::run(s, policy)).collect::<Vec<_>>();
+            parts.push(scope.spawn(run));
+        }
+        let join = |part: thread::ScopedJoinHandle<'_, Vec<Outcome>>| {
+            part.join().expect("a simulation does not panic")
+        };
+        parts.into_iter().flat_map(join).collect()
+    })
+}
+
+/// Returns a line per measure: name, baseline, value, target, met or not.
+fn lines(scenarios: &[Scenario], baseline: &[Outcome], evidence: &[Outcome]) -> Vec<String> {
+    let count = |outcomes: &[Outcome], is_counted: IsCounted| {
+        scenarios.iter().zip(outcomes).filter(|(s, o)| is_counted(s, o)).count()
+    };
+    let of = |class: Class| scenarios.iter().filter(|s| s.class == class).count();
+    let (good, cold, bad) = (of(Class::Good), of(Class::GoodButCold), of(Class::Bad));
+    let counted: [(&str, usize, IsCounted); 3] = [
+        ("good moves done by the deadline", good + cold, |s, o| !s.is_bad() && o.is_done_in_time),
+        ("good but cold moves not rolled back", cold, |s, o| {
+            s.class == Class::GoodButCold && !o.is_rolled_back
+        }),
+        ("bad moves rolled back", bad, |s, o| s.is_bad() && o.is_rolled_back),
+    ];
+    let mut lines = Vec::new();
+    for (name, target, is_counted) in counted {
+        let (base, value) = (count(baseline, is_counted), count(evidence, is_counted));
+        lines.push(line(name, &base.to_string(), &value.to_string(), target, value == target));
+    }
+    let exposures = |outcomes: &[Outcome]| {
+        let bad = scenarios.iter().zip(outcomes).filter(|(s, _)| s.is_bad());
+        bad.map(|(_, o)| o.exposure).fold(0.0, f64::max)
+    };
+    let percent = |value: f64| format!("{:.2}%", 100.0 * value);
+    let (base, value) = (exposures(baseline), exposures(evidence));
+    let name = "largest share of a bad move's requests before detection";
+    lines.push(line(name, &percent(base), &percent(value), "2.00%", value <= MAX_EXPOSURE));
+    let late = |outcomes: &[Outcome]| outcomes.iter().map(|o| o.after_detection).sum::<u64>();
+    let (base, value) = (late(baseline), late(evidence));
+    let name = "requests to a bad version 2 s after detection";
+    let base = if base == 0 { "none detected".to_owned() } else { base.to_string() };
+    lines.push(line(name, &base, &value.to_string(), 0, value == 0));
+    let fenced = |outcomes: &[Outcome]| outcomes.iter().map(|o| o.late_writes).sum::<u64>();
+    let (base, value) = (fenced(baseline), fenced(evidence));
+    lines.push(line(
+        "late drivers' writes taken",
+        &base.to_string(),
+        &value.to_string(),
+        0,
+        value == 0,
+    ));
+    lines
+}
+
+fn line(
+    name: &str,
+    baseline: &str,
+    value: &str,
+    target: impl std::fmt::Display,
+    is_met: bool,
+) -> String {
+    let met = if is_met { "met" } else { "MISSED" };
+    format!("{name}: baseline {baseline}, value {value}, target {target}, {met}")
+}
+
+/// Returns why a move missed a target.
+fn miss(scenario: &Scenario, outcome: &Outcome) -> Option<String> {
+    if scenario.is_bad() && !outcome.is_rolled_back {
+        return Some(format!("not rolled back; last decision: {}", outcome.last));
+    }
+    if scenario.is_bad() && outcome.exposure > MAX_EXPOSURE {
+        return Some(format!(
+            "{:.2}% of {} requests before detection; {}",
+            100.0 * outcome.exposure,
+            outcome.requests,
+            outcome.last
+        ));
+    }
+    if outcome.after_detection > 0 {
+        return Some(format!("{} requests 2 s after detection", outcome.after_detection));
+    }
+    if !scenario.is_bad() && !outcome.is_done_in_time {
+        return Some(format!("not done by the deadline; last decision: {}", outcome.last));
+    }
+    None
+}
