--- a/damaskdrift/src/operator/api.rs
+++ b/damaskdrift/src/operator/api.rs
@@ -1,5 +1,7 @@
 //! Routes of the operators' listener.
 
+use std::sync;
+
 use damaskdrift_core::code;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
@@ -36,7 +38,10 @@
 /// # Errors
 ///
 /// Returns the refusal.
-pub async fn answer(cx: &context::Context, call: &Call<'_>) -> Result<serde_json::Value, Refusal> {
+pub async fn answer(
+    cx: &sync::Arc<context::Context>,
+    call: &Call<'_>,
+) -> Result<serde_json::Value, Refusal> {
     let segments: Vec<_> = call.path.trim_start_matches('/').split('/').collect();
     match (call.method.as_str(), segments.as_slice()) {
         ("GET", ["v1", "fleet"]) => get_fleet(cx).await,
@@ -87,7 +92,10 @@
     Ok(serde_json::json!({"revision": revision, "changes": changes, "source": source}))
 }
 
-async fn put_fleet(cx: &context::Context, call: &Call<'_>) -> Result<serde_json::Value, Refusal> {
+async fn put_fleet(
+    cx: &sync::Arc<context::Context>,
+    call: &Call<'_>,
+) -> Result<serde_json::Value, Refusal> {
     let expected = call.expected()?;
     let document = parse_document(&call.body)?;
     let summary = format!(
@@ -112,7 +120,7 @@
 }
 
 async fn set_domain(
-    cx: &context::Context,
+    cx: &sync::Arc<context::Context>,
     call: &Call<'_>,
     name: &str,
     state: fleet::DomainState,
@@ -141,18 +149,19 @@
 
 /// Applies a change and returns who has confirmed it.
 async fn submit(
-    cx: &context::Context,
+    cx: &sync::Arc<context::Context>,
     expected: id::Revision,
     intent: &change::Intent,
     edit: impl FnOnce(fleet::Document) -> Result<fleet::Document, Refusal>,
 ) -> Result<serde_json::Value, Refusal> {
-    let accepted = change::apply(cx, expected, intent, edit).await?;
-    log::info!(revision = accepted.revision.0, author = intent.author; "{}", intent.summary);
+    let spread = change::apply(cx, expected, intent, edit).await?;
+    log::info!(revision = spread.revision.0, author = intent.author; "{}", intent.summary);
     Ok(serde_json::json!({
-        "revision": accepted.revision,
-        "confirmed": [],
-        "stopped": [],
-        "unconfirmed": [],
+        "revision": spread.revision,
+        "confirmed": spread.confirmed,
+        "stopped": spread.stopped,
+        "unconfirmed": spread.unconfirmed,
+        "reason": spread.reason.to_string(),
     }))
 }
 
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -2,17 +2,25 @@
 
 use std::net;
 use std::path;
+use std::sync::Arc;
+use std::time::Duration;
 
 use damaskdrift_core::code;
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
-use tokio::signal::unix;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::caller;
 use crate::context;
+use crate::control;
+use crate::control::lifecycle;
 use crate::logging;
 use crate::metrics;
 use crate::operator;
+use crate::peer;
 use crate::settings;
 
 /// An instance that could not start.
@@ -54,28 +62,67 @@
 async fn serve(settings: settings::Settings, page: PrometheusHandle) -> Result<(), Error> {
     let token = settings.operators.token().map_err(Error::Token)?;
     let cx = context::Context::new(settings);
-    let operators = bind(cx.settings.listen.operators).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let starting = lifecycle::Lifecycle::new(&cx.lifecycle);
+    let operators = listen(cx.settings.listen.operators).await?;
+    let callers = listen(cx.settings.listen.callers).await?;
+    start_control(&cx).await?;
     let stop = CancellationToken::new();
     let listener = operator::listener::Listener::new(cx.clone(), page, &token);
     let operators = tokio::spawn(listener.run(operators, stop.clone().cancelled_owned()));
-    stop_signal().await?;
+    let callers = tokio::spawn(caller::serve(cx.clone(), callers, stop_accepting(cx.clone())));
+    let serving = starting.serve();
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let draining = serving.drain();
+    draining.finish(finish(&cx, callers)).await;
+    control::slots::release_leases(&cx).await;
     stop.cancel();
     // The listener ends by itself; a panic in it was printed when it happened.
     let _ = operators.await;
     Ok(())
 }
 
-async fn bind(address: net::SocketAddr) -> Result<tokio::net::TcpListener, Error> {
-    let socket = tokio::net::TcpListener::bind(address).await;
-    socket.map_err(|source| Error::Listen { address, source })
+/// Waits until callers are no longer accepted. The load balancer learns late that the instance is
+/// not ready, so they are accepted for some time after the order to stop.
+async fn stop_accepting(cx: Arc<context::Context>) {
+    cx.lifecycle.reached(lifecycle::Phase::Draining).await;
+    tokio::time::sleep(Duration::from_millis(cx.settings.drain.accept_ms)).await;
 }
 
-async fn stop_signal() -> Result<(), Error> {
-    let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(Error::Runtime)?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(Error::Runtime)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+async fn finish(cx: &context::Context, callers: JoinHandle<()>) {
+    let work = async {
+        if let Err(error) = callers.await {
+            log::error!("[{}] callers' listener: {error}", code::Code::Internal.number());
+        }
+        cx.tasks.finished().await;
+    };
+    let Some(deadline_ms) = cx.settings.drain.deadline_ms else {
+        return work.await;
+    };
+    if tokio::time::timeout(Duration::from_millis(deadline_ms), work).await.is_err() {
+        log::warn!("drain deadline of {deadline_ms} ms cut off running requests");
     }
+}
+
+async fn listen(address: net::SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
+}
+
+fn signal(kind: SignalKind) -> Result<Signal, Error> {
+    tokio::signal::unix::signal(kind).map_err(Error::Runtime)
+}
+
+/// Opens the peers' listener and starts the background loops.
+async fn start_control(cx: &Arc<context::Context>) -> Result<(), Error> {
+    let peers = listen(cx.settings.listen.peers).await?;
+    peer::start(cx, peers);
+    tokio::spawn(control::roster::run(cx.clone()));
+    tokio::spawn(control::heartbeat::run(cx.clone()));
+    tokio::spawn(control::sync::run(cx.clone()));
+    control::slots::start(cx);
     Ok(())
 }
--- /dev/null
+++ b/damaskdrift_lab/tests/standins.rs
@@ -0,0 +1,501 @@
+//! Contract tests of the stand-ins for the key-value service, instance list and plain service, and
+//! of the fault proxy.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use damaskdrift_lab::harness::http::Error;
+use damaskdrift_lab::harness::{Answer, Call, Client, Proxy, Standin};
+use damaskdrift_lab::proxy::Mode;
+use hyper::Method;
+use rstest::rstest;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Longest answer of a call that is meant to hang, and least wait that counts as hanging.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Largest value of the key-value service, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+struct Rig {
+    standin: Standin,
+    http: Client,
+    folder: TempDir,
+}
+
+impl Rig {
+    async fn start(kind: &str, args: &[&str]) -> Self {
+        let folder = TempDir::new().expect("a temporary folder can be created");
+        let http = Client::new();
+        let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
+        let standin = Standin::start(kind, kind, &args, folder.path(), &http).await;
+        Self { standin: standin.expect("the stand-in starts"), http, folder }
+    }
+
+    fn call(&self, method: Method, path: &str) -> Call {
+        Call::new(method, self.standin.address, path)
+    }
+
+    async fn send(&self, method: Method, path: &str, body: &str) -> Answer {
+        let call = self.call(method, path).with_body(body.to_owned());
+        self.http.send(call).await.expect("the stand-in answers")
+    }
+
+    async fn put(&self, path: &str, body: &str) -> Answer {
+        self.send(Method::PUT, path, body).await
+    }
+
+    async fn post(&self, path: &str) -> Answer {
+        self.send(Method::POST, path, "").await
+    }
+
+    async fn get(&self, path: &str) -> Answer {
+        self.send(Method::GET, path, "").await
+    }
+
+    async fn set_fault(&self, fault: Value) {
+        self.standin.set_fault(&fault).await.expect("the fault is accepted");
+    }
+
+    async fn stats(&self) -> Value {
+        self.standin.stats().await.expect("the stand-in answers")
+    }
+
+    /// Starts a proxy with two links to the stand-in.
+    async fn proxy(&self) -> Proxy {
+        let targets = [self.standin.address; 2];
+        let proxy = Proxy::start("proxy", &targets, self.folder.path(), &self.http).await;
+        proxy.expect("the proxy starts")
+    }
+}
+
+fn revision(answer: &Answer) -> Option<u64> {
+    answer.header("x-revision")?.parse().ok()
+}
+
+/// Guards against a write over a value that its writer has not seen, the base of every claim,
+/// lease and change of the fleet document. The keys `a` and `b` have the revisions 1 and 2.
+#[rstest]
+#[case::creates(Method::PUT, "/v1/kv/new?expected=0", 200, Some(3), "")]
+#[case::replaces(Method::PUT, "/v1/kv/a?expected=1", 200, Some(3), "")]
+#[case::replaces_with_ttl(Method::PUT, "/v1/kv/a?expected=1&ttl_ms=60000", 200, Some(3), "")]
+#[case::present_but_expected_absent(Method::PUT, "/v1/kv/a?expected=0", 409, Some(1), "value-a")]
+#[case::newer_than_expected(Method::PUT, "/v1/kv/b?expected=1", 409, Some(2), "value-b")]
+#[case::absent_but_expected(Method::PUT, "/v1/kv/new?expected=1", 409, Some(0), "")]
+#[case::nested_key(Method::PUT, "/v1/kv/idem/notices/ab?expected=0", 200, Some(3), "")]
+#[case::deletes(Method::DELETE, "/v1/kv/a?expected=1", 200, Some(1), "")]
+#[case::deletes_other(Method::DELETE, "/v1/kv/a?expected=2", 409, Some(1), "value-a")]
+#[case::deletes_absent(Method::DELETE, "/v1/kv/new?expected=1", 409, Some(0), "")]
+#[case::renews(Method::POST, "/v1/renew/a?expected=1&ttl_ms=60000", 200, Some(1), "")]
+#[case::renews_other(Method::POST, "/v1/renew/a?expected=2&ttl_ms=60000", 409, Some(1), "value-a")]
+#[case::renews_absent(Method::POST, "/v1/renew/new?expected=1&ttl_ms=60000", 409, Some(0), "")]
+#[case::reads(Method::GET, "/v1/kv/b", 200, Some(2), "value-b")]
+#[case::reads_absent(Method::GET, "/v1/kv/new", 404, None, "")]
+#[case::put_without_expected(Method::PUT, "/v1/kv/a", 400, None, "Invalid query string")]
+#[case::renew_without_ttl(
+    Method::POST,
+    "/v1/renew/a?expected=1",
+    400,
+    None,
+    "Invalid query string"
+)]
+#[tokio::test]
+async fn key_value_swaps_only_the_expected_revision(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] want_revision: Option<u64>,
+    #[case] body: &str,
+) {
+    let rig = Rig::start("key-value", &[]).await;
+    rig.put("/v1/kv/a?expected=0", "value-a").await;
+    rig.put("/v1/kv/b?expected=0", "value-b").await;
+    let answer = rig.send(method, path, "next").await;
+    assert_eq!((answer.status, revision(&answer)), (status, want_revision));
+    assert_eq!(answer.text(), body);
+}
+
+/// Guards against two winners of a race for one key, which would be two holders of a lease.
+#[tokio::test]
+async fn key_value_race_has_one_winner() {
+    let rig = Rig::start("key-value", &[]).await;
+    let mut racers = tokio::task::JoinSet::new();
+    for racer in 0..32 {
+        let call = rig.call(Method::PUT, "/v1/kv/lease?expected=0").with_body(racer.to_string());
+        let http = rig.http.clone();
+        racers.spawn(async move { http.send(call).await.expect("the stand-in answers").status });
+    }
+    let mut statuses = racers.join_all().await;
+    statuses.sort_unstable();
+    assert_eq!(statuses[0], 200);
+    assert!(statuses[1..].iter().all(|status| *status == 409), "{statuses:?}");
+}
+
+/// Guards against a lease that outlives its time, or ends while it is renewed.
+#[tokio::test]
+async fn key_value_key_lives_from_its_last_write_or_renewal() {
+    let rig = Rig::start("key-value", &[]).await;
+    let created = rig.put("/v1/kv/lease?expected=0&ttl_ms=1000", "holder").await;
+    assert_eq!(revision(&created), Some(1));
+    for _ in 0..4 {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let renewed = rig.post("/v1/renew/lease?expected=1&ttl_ms=1000").await;
+        assert_eq!((renewed.status, revision(&renewed)), (200, Some(1)));
+    }
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(rig.get("/v1/kv/lease").await.status, 404);
+    let late = rig.post("/v1/renew/lease?expected=1&ttl_ms=1000").await;
+    assert_eq!((late.status, revision(&late)), (409, Some(0)));
+    let successor = rig.put("/v1/kv/lease?expected=0&ttl_ms=1000", "successor").await;
+    assert_eq!((successor.status, revision(&successor)), (200, Some(2)));
+}
+
+/// Guards against a watch that misses a write or reports an old one. The key has revision 1.
+#[rstest]
+#[case::newer_is_there(0, 5_000, 200, false)]
+#[case::nothing_newer(1, 200, 204, true)]
+#[case::future_revision(9, 200, 204, true)]
+#[tokio::test]
+async fn key_value_watch_answers_when_newer(
+    #[case] after: u64,
+    #[case] wait_ms: u64,
+    #[case] status: u16,
+    #[case] waits: bool,
+) {
+    let rig = Rig::start("key-value", &[]).await;
+    rig.put("/v1/kv/fleet?expected=0", "first").await;
+    let answer = rig.get(&format!("/v1/watch/fleet?after={after}&wait_ms={wait_ms}")).await;
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.elapsed >= Duration::from_millis(wait_ms), waits, "{:?}", answer.elapsed);
+}
+
+/// Guards against a watch that learns of a write only when its wait ends, and against a watch
+/// that counts as many calls.
+#[tokio::test]
+async fn key_value_watch_wakes_on_a_write() {
+    let rig = Rig::start("key-value", &[]).await;
+    let call = rig.call(Method::GET, "/v1/watch/fleet?after=0&wait_ms=20000");
+    let watch = tokio::spawn({
+        let http = rig.http.clone();
+        async move { http.send(call).await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    rig.put("/v1/kv/other?expected=0", "other").await;
+    rig.put("/v1/kv/fleet?expected=0", "first").await;
+    let answer = watch.await.expect("the task ends").expect("the stand-in answers");
+    assert_eq!((answer.status, revision(&answer)), (200, Some(2)));
+    assert_eq!(answer.text(), "first");
+    assert!(answer.elapsed < Duration::from_secs(10), "{:?}", answer.elapsed);
+    assert_eq!(rig.stats().await, json!({"reads": 0, "writes": 2, "watches": 1}));
+}
+
+/// Guards against calls that escape the rate limit: a renewal must count as a write, a watch as a
+/// read.
+#[rstest]
+#[case::reads(Method::GET, "/v1/kv/a", "--reads-per-s", json!({"reads": 4, "writes": 0, "watches": 0}))]
+#[case::watches(Method::GET, "/v1/watch/a?after=0&wait_ms=0", "--reads-per-s", json!({"reads": 0, "writes": 0, "watches": 4}))]
+#[case::writes(Method::PUT, "/v1/kv/a?expected=9", "--writes-per-s", json!({"reads": 0, "writes": 4, "watches": 0}))]
+#[case::renewals(Method::POST, "/v1/renew/a?expected=9&ttl_ms=1", "--writes-per-s", json!({"reads": 0, "writes": 4, "watches": 0}))]
+#[case::deletions(Method::DELETE, "/v1/kv/a?expected=9", "--writes-per-s", json!({"reads": 0, "writes": 4, "watches": 0}))]
+#[tokio::test]
+async fn key_value_limits_the_rate(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] flag: &str,
+    #[case] stats: Value,
+) {
+    let rig = Rig::start("key-value", &[flag, "1"]).await;
+    let first = rig.send(method.clone(), path, "").await;
+    assert_ne!(first.status, 429);
+    let mut refused = 0;
+    for _ in 0..3 {
+        refused += usize::from(rig.send(method.clone(), path, "").await.status == 429);
+    }
+    assert!(refused >= 2, "{refused} of 3 calls refused");
+    assert_eq!(rig.stats().await, stats);
+}
+
+/// Guards against an outage that lets a call through, or that loses data.
+#[rstest]
+#[case::read(Method::GET, "/v1/kv/a")]
+#[case::write(Method::PUT, "/v1/kv/a?expected=1")]
+#[case::renewal(Method::POST, "/v1/renew/a?expected=1&ttl_ms=1")]
+#[case::deletion(Method::DELETE, "/v1/kv/a?expected=1")]
+#[case::watch(Method::GET, "/v1/watch/a?after=0&wait_ms=0")]
+#[tokio::test]
+async fn key_value_outage_refuses_every_call(#[case] method: Method, #[case] path: &str) {
+    let rig = Rig::start("key-value", &[]).await;
+    rig.put("/v1/kv/a?expected=0", "value-a").await;
+    rig.set_fault(json!({"outage": true})).await;
+    assert_eq!(rig.send(method, path, "next").await.status, 503);
+    rig.set_fault(json!({})).await;
+    let kept = rig.get("/v1/kv/a").await;
+    assert_eq!((kept.status, revision(&kept), kept.text().as_str()), (200, Some(1), "value-a"));
+}
+
+/// Guards against a watch that hides an outage until its wait ends.
+#[tokio::test]
+async fn key_value_outage_ends_watches() {
+    let rig = Rig::start("key-value", &[]).await;
+    let call = rig.call(Method::GET, "/v1/watch/fleet?after=0&wait_ms=20000");
+    let watch = tokio::spawn({
+        let http = rig.http.clone();
+        async move { http.send(call).await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    rig.set_fault(json!({"outage": true})).await;
+    let answer = watch.await.expect("the task ends").expect("the stand-in answers");
+    assert_eq!(answer.status, 503);
+    assert!(answer.elapsed < Duration::from_secs(10), "{:?}", answer.elapsed);
+}
+
+/// Guards against a lost answer whose effect is lost as well, which would hide double writes.
+#[rstest]
+#[case::write(Method::PUT, "/v1/kv/a?expected=1", Some((2, "next")))]
+#[case::deletion(Method::DELETE, "/v1/kv/a?expected=1", None)]
+#[case::read(Method::GET, "/v1/kv/a", Some((1, "value-a")))]
+#[case::watch(Method::GET, "/v1/watch/a?after=0&wait_ms=0", Some((1, "value-a")))]
+#[tokio::test]
+async fn key_value_loses_the_answer_after_the_effect(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] left: Option<(u64, &str)>,
+) {
+    let rig = Rig::start("key-value", &[]).await;
+    rig.put("/v1/kv/a?expected=0", "value-a").await;
+    rig.set_fault(json!({"lose_answers": 1.0})).await;
+    let lost = rig.http.send(rig.call(method, path).with_body("next")).await;
+    assert!(matches!(lost, Err(Error::Broken(_))), "{lost:?}");
+    rig.set_fault(json!({})).await;
+    let entry = rig.standin.get_key("a").await.expect("the stand-in answers");
+    let entry = entry.map(|(value, revision)| (revision, value));
+    assert_eq!(
+        entry,
+        left.map(|(revision, value)| (revision, Bytes::copy_from_slice(value.as_bytes())))
+    );
+}
+
+/// Guards against a slow write that a client takes for undone because it stopped waiting.
+#[tokio::test]
+async fn key_value_write_takes_effect_after_its_client_left() {
+    let rig = Rig::start("key-value", &["--delay-ms", "400"]).await;
+    let call = rig.call(Method::PUT, "/v1/kv/a?expected=0").with_body("value-a");
+    let left = rig.http.send(call.with_timeout(Duration::from_millis(100))).await;
+    assert!(matches!(left, Err(Error::Timeout(_))), "{left:?}");
+    rig.set_fault(json!({})).await;
+    assert_eq!(rig.get("/v1/kv/a").await.status, 404);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(rig.get("/v1/kv/a").await.status, 200);
+}
+
+/// Guards against a limit on values that is off by one, or that stores a part.
+#[rstest]
+#[case::largest(MAX_VALUE_BYTES, 200, 200)]
+#[case::too_large(MAX_VALUE_BYTES + 1, 413, 404)]
+#[tokio::test]
+async fn key_value_limits_the_size(
+    #[case] bytes: usize,
+    #[case] put_status: u16,
+    #[case] get_status: u16,
+) {
+    let rig = Rig::start("key-value", &[]).await;
+    assert_eq!(rig.put("/v1/kv/a?expected=0", &"x".repeat(bytes)).await.status, put_status);
+    assert_eq!(rig.get("/v1/kv/a").await.status, get_status);
+}
+
+/// Guards against faults that are misspelt or impossible and so never happen in a test.
+#[rstest]
+#[case::key_value_unknown_field("key-value", json!({"outtage": true}))]
+#[case::key_value_probability("key-value", json!({"lose_answers": 1.5}))]
+#[case::service_probability("service", json!({"fail_rate": -0.1}))]
+#[case::service_factor("service", json!({"slow_factor": -1.0}))]
+#[tokio::test]
+async fn impossible_faults_are_refused(#[case] kind: &str, #[case] fault: Value) {
+    let rig = Rig::start(kind, &[]).await;
+    assert_eq!(rig.send(Method::POST, "/admin/fault", &fault.to_string()).await.status, 400);
+}
+
+/// Guards against a list that shows a change before its lag has passed, or never.
+#[tokio::test]
+async fn instance_list_shows_changes_after_the_lag() {
+    let rig = Rig::start("instances", &["--lag-ms", "400"]).await;
+    let list = |state: &str| {
+        json!({"instances": [{"id": "entry-0", "role": "entry", "address": "127.0.0.1:7000",
+            "failure_domain": "a", "state": state}]})
+    };
+    let shown = async || rig.get("/v1/instances").await.json::<Value>().expect("the list is JSON");
+    for (before, after) in
+        [(json!({"instances": []}), list("live")), (list("live"), list("leaving"))]
+    {
+        let set_at = Instant::now();
+        assert_eq!(rig.put("/admin/instances", &after.to_string()).await.status, 200);
+        let early = shown().await;
+        if set_at.elapsed() < Duration::from_millis(400) {
+            assert_eq!(early, before);
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(shown().await, after);
+    }
+}
+
+/// Guards against an entry that no reader of the list can use.
+#[rstest]
+#[case::no_address(json!({"instances": [{"id": "a", "role": "entry", "failure_domain": "a", "state": "live"}]}))]
+#[case::host_name(json!({"instances": [{"id": "a", "role": "entry", "address": "host:1", "failure_domain": "a", "state": "live"}]}))]
+#[case::unknown_role(json!({"instances": [{"id": "a", "role": "cache", "address": "127.0.0.1:1", "failure_domain": "a", "state": "live"}]}))]
+#[case::unknown_state(json!({"instances": [{"id": "a", "role": "entry", "address": "127.0.0.1:1", "failure_domain": "a", "state": "gone"}]}))]
+#[tokio::test]
+async fn instance_list_refuses_malformed_entries(#[case] list: Value) {
+    let rig = Rig::start("instances", &[]).await;
+    assert_eq!(rig.put("/admin/instances", &list.to_string()).await.status, 400);
+    assert_eq!(rig.get("/v1/instances").await.text(), r#"{"instances":[]}"#);
+}
+
+/// Guards against a run that is not counted, which would hide a double run.
+#[rstest]
+#[case::plain(json!({}), Some(200))]
+#[case::failed(json!({"fail_rate": 1.0}), Some(500))]
+#[case::answer_lost(json!({"lose_answers": 1.0}), None)]
+#[tokio::test]
+async fn service_counts_every_run(#[case] fault: Value, #[case] status: Option<u16>) {
+    let rig = Rig::start("service", &[]).await;
+    rig.set_fault(fault).await;
+    for key in ["one", "two", "two"] {
+        let call = rig.call(Method::POST, "/lodge?paper=1").with_header("idempotency-key", key);
+        let answer = rig.http.send(call.with_body("notice")).await;
+        assert_eq!(answer.ok().map(|answer| answer.status), status);
+    }
+    let unkeyed = rig.http.send(rig.call(Method::GET, "/stock")).await;
+    assert_eq!(unkeyed.ok().map(|answer| answer.status), status);
+    let runs = rig.standin.runs().await.expect("the stand-in answers");
+    let want = [("", 1), ("one", 1), ("two", 2)].map(|(key, count)| (key.to_owned(), count));
+    assert_eq!(runs, want.into());
+}
+
+/// Guards against answers of different runs that are equal, which would hide a second run behind
+/// a replayed answer.
+#[tokio::test]
+async fn service_answers_differ_between_runs() {
+    let rig = Rig::start("service", &["--answer-bytes", "300000"]).await;
+    let first = rig.post("/lodge").await;
+    let second = rig.post("/lodge").await;
+    assert_ne!(first.body, second.body);
+    assert!(first.body.len() > 300_000);
+}
+
+/// Guards against a delay that the service does not keep.
+#[rstest]
+#[case::delay(json!({}), 200)]
+#[case::slow(json!({"slow_factor": 3.0}), 600)]
+#[tokio::test]
+async fn service_answers_after_its_delay(#[case] fault: Value, #[case] least_ms: u64) {
+    let rig = Rig::start("service", &["--delay-ms", "200"]).await;
+    rig.set_fault(fault).await;
+    let answer = rig.post("/lodge").await;
+    assert!(answer.elapsed >= Duration::from_millis(least_ms), "{:?}", answer.elapsed);
+}
+
+/// Guards against an admin request that counts as a run.
+#[tokio::test]
+async fn service_admin_requests_are_no_runs() {
+    let rig = Rig::start("service", &[]).await;
+    assert_eq!(rig.send(Method::POST, "/admin/fault", "{").await.status, 400);
+    assert_eq!(rig.get("/admin/unknown").await.status, 404);
+    assert!(rig.standin.runs().await.expect("the stand-in answers").is_empty());
+}
+
+/// Guards against a fault that the proxy does not inject, with the effect at the service behind
+/// it: whether the call is answered, and whether it ran.
+#[rstest]
+#[case::pass(Mode::PASS, Ok(200), 1)]
+#[case::delay(Mode::PASS.with_delay_ms(100), Ok(200), 1)]
+#[case::cut(Mode::CUT, Err("connect"), 0)]
+#[case::blackhole(Mode::BLACKHOLE, Err("timeout"), 0)]
+#[case::drop_answers(Mode::DROP_ANSWERS, Err("broken"), 1)]
+#[tokio::test]
+async fn proxy_injects_faults(
+    #[case] mode: Mode,
+    #[case] want: Result<u16, &str>,
+    #[case] runs: u64,
+    #[values(false, true)] has_open_connection: bool,
+) {
+    let rig = Rig::start("service", &[]).await;
+    let proxy = rig.proxy().await;
+    let address = proxy.links[0].address;
+    if has_open_connection {
+        rig.http.send(Call::get(address, "/warm-up")).await.expect("the link passes");
+    }
+    proxy.links[0].set_mode(mode).await.expect("the mode is accepted");
+    // The client must notice that its pooled connection is closed.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let call = Call::post(address, "/lodge").with_header("idempotency-key", "key");
+    let answer = rig.http.send(call.with_body("notice").with_timeout(SILENCE)).await;
+    let got = match answer {
+        Ok(answer) => Ok(answer.status),
+        Err(Error::Connect(_)) => Err("connect"),
+        Err(Error::Timeout(_)) => Err("timeout"),
+        Err(Error::Broken(_)) => Err("broken"),
+        Err(Error::Malformed(_)) => Err("malformed"),
+    };
+    assert_eq!(got, want);
+    let counted = rig.standin.runs().await.expect("the stand-in answers");
+    assert_eq!(counted.get("key").copied().unwrap_or_default(), runs);
+}
+
+/// Guards against a fault that outlasts its mode or reaches another link.
+#[rstest]
+#[case::cut(Mode::CUT)]
+#[case::blackhole(Mode::BLACKHOLE)]
+#[case::drop_answers(Mode::DROP_ANSWERS)]
+#[tokio::test]
+async fn proxy_faults_end_and_stay_on_their_link(#[case] mode: Mode) {
+    let rig = Rig::start("service", &[]).await;
+    let proxy = rig.proxy().await;
+    let status = async |link: usize| {
+        let call = Call::get(proxy.links[link].address, "/stock").with_timeout(SILENCE);
+        rig.http.send(call).await.map(|answer| answer.status).ok()
+    };
+    proxy.links[0].set_mode(mode).await.expect("the mode is accepted");
+    assert_eq!((status(0).await, status(1).await), (None, Some(200)));
+    proxy.links[0].set_mode(Mode::PASS).await.expect("the mode is accepted");
+    assert_eq!((status(0).await, status(1).await), (Some(200), Some(200)));
+    proxy.set_mode(mode).await.expect("the mode is accepted");
+    assert_eq!((status(0).await, status(1).await), (None, None));
+}
+
+/// Guards against bytes that are lost or out of order when a black hole ends.
+#[tokio::test]
+async fn proxy_blackhole_keeps_the_bytes() {
+    let rig = Rig::start("service", &[]).await;
+    let proxy = rig.proxy().await;
+    let link = &proxy.links[0];
+    link.set_mode(Mode::BLACKHOLE).await.expect("the mode is accepted");
+    let call = Call::post(link.address, "/lodge").with_body("x".repeat(200_000));
+    let running = tokio::spawn({
+        let http = rig.http.clone();
+        async move { http.send(call).await }
+    });
+    tokio::time::sleep(SILENCE).await;
+    link.set_mode(Mode::PASS).await.expect("the mode is accepted");
+    let answer = running.await.expect("the task ends").expect("the service answers");
+    assert_eq!(answer.json::<Value>().expect("the answer is JSON")["body_bytes"], 200_000);
+    assert!(answer.elapsed >= SILENCE, "{:?}", answer.elapsed);
+}
+
+/// Guards against a delay or a bandwidth that the link does not keep. The answer has 100,000 bytes.
+#[rstest]
+#[case::delay(Mode::PASS.with_delay_ms(150), 300, 2_000)]
+#[case::bandwidth(Mode::PASS.with_bytes_per_s(200_000), 500, 3_000)]
+#[tokio::test]
+async fn proxy_slows_down(#[case] mode: Mode, #[case] least_ms: u64, #[case] most_ms: u64) {
+    let rig = Rig::start("service", &["--answer-bytes", "100000"]).await;
+    let proxy = rig.proxy().await;
+    proxy.links[0].set_mode(mode).await.expect("the mode is accepted");
+    let answer = rig.http.send(Call::get(proxy.links[0].address, "/stock")).await;
+    let elapsed = answer.expect("the service answers").elapsed;
+    let range = Duration::from_millis(least_ms)..Duration::from_millis(most_ms);
+    assert!(range.contains(&elapsed), "{elapsed:?}");
+    let stats = proxy.stats().await.expect("the proxy answers");
+    assert!(stats[0].answer_bytes > 100_000);
+    assert_eq!(stats[1].answer_bytes, 0);
+}
