Drive moves under a lease, veto on evidence, and report burn

control/observe collects what finished requests showed, judges it every 250 ms and vetoes a bad version at once; evidence goes to the driver each second.

Commands: move start|status|cancel and report burn (text, JSON, SVG). Latencies are held back for 1.5 s instead of 1 s, because load reports of upstreams on a new route are read every 0.5 s and lag themselves.

Not yet run with processes; the callers' path does not call route::choose yet.

--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -13,7 +13,7 @@
 use damaskdrift_core::time::{Millis, UnixMillis};
 use tokio::sync::watch;
 
-use crate::control::{heartbeat, lifecycle, slots, sync as config, tasks};
+use crate::control::{driver, heartbeat, lifecycle, observe, slots, sync as config, tasks};
 use crate::peer;
 use crate::platform::{instance_list, key_value};
 use crate::settings;
@@ -39,6 +39,10 @@
     pub pauses: watch::Sender<u64>,
     /// Client of the key-value service.
     pub key_value: key_value::Client,
+    /// Evidence on moves and counts for the burn report.
+    pub observer: observe::Observer,
+    /// What this instance knows of the driver of moves.
+    pub drive: driver::Drive,
     /// Slots at upstreams.
     pub slots: slots::Slots,
     /// Connections to upstreams.
@@ -65,6 +69,8 @@
         sync::Arc::new(Self {
             key_value: key_value::Client::new(settings.platform.key_value, timeout),
             instance_list: instance_list::Client::new(settings.platform.instance_list, timeout),
+            observer: observe::Observer::default(),
+            drive: driver::Drive::default(),
             slots: slots::Slots::new(settings.limits.fleet_max),
             upstreams: upstream::Pool::new(&settings.limits),
             lifecycle: lifecycle::Signal::default(),
--- a/damaskdrift/src/operator/api.rs
+++ b/damaskdrift/src/operator/api.rs
@@ -5,11 +5,14 @@
 use damaskdrift_core::code;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
+use serde::de::DeserializeOwned;
 use warp::http::Method;
 
 use crate::context;
 use crate::operator::Refusal;
+use crate::operator::burn;
 use crate::operator::change;
+use crate::operator::moves;
 use crate::operator::status;
 
 /// Header that names who makes a change.
@@ -54,6 +57,10 @@
         }
         ("GET", ["v1", "history"]) => history(cx).await,
         ("GET", ["v1", "upstreams"]) => Ok(status::upstreams(cx)),
+        ("GET", ["v1", "moves"]) => Ok(moves::list(cx).await),
+        ("POST", ["v1", "moves"]) => start_move(cx, call).await,
+        ("POST", ["v1", "moves", name, "cancel"]) => cancel_move(cx, call, name).await,
+        ("GET", ["v1", "burn"]) => Ok(burn::report(cx).await),
         ("GET", ["v1", "status"]) => Ok(status::value(cx)),
         (method, _) => {
             let message = format!("no route {method} {}", call.path);
@@ -97,7 +104,7 @@
     call: &Call<'_>,
 ) -> Result<serde_json::Value, Refusal> {
     let expected = call.expected()?;
-    let document = parse_document(&call.body)?;
+    let document: fleet::Document = parse(&call.body, code::Code::DocumentInvalid)?;
     let summary = format!(
         "apply a document with {} templates, {} workspaces, {} upstreams",
         document.templates.len(),
@@ -147,6 +154,27 @@
     .await
 }
 
+async fn start_move(
+    cx: &sync::Arc<context::Context>,
+    call: &Call<'_>,
+) -> Result<serde_json::Value, Refusal> {
+    let expected = call.expected()?;
+    let order: moves::Start = parse(&call.body, code::Code::MalformedBody)?;
+    let intent = call.intent(&format!("move {} started", order.id));
+    let now = context::Context::unix_now();
+    submit(cx, expected, &intent, |document| moves::start(document, &order, now)).await
+}
+
+async fn cancel_move(
+    cx: &sync::Arc<context::Context>,
+    call: &Call<'_>,
+    name: &str,
+) -> Result<serde_json::Value, Refusal> {
+    let expected = call.expected()?;
+    let intent = call.intent(&format!("move {name} cancelled"));
+    submit(cx, expected, &intent, |document| moves::cancel(document, name)).await
+}
+
 /// Applies a change and returns who has confirmed it.
 async fn submit(
     cx: &sync::Arc<context::Context>,
@@ -165,12 +193,14 @@
     }))
 }
 
-fn parse_document(body: &[u8]) -> Result<fleet::Document, Refusal> {
+fn parse<T: DeserializeOwned>(body: &[u8], code: code::Code) -> Result<T, Refusal> {
     let deserializer = &mut serde_json::Deserializer::from_slice(body);
     serde_path_to_error::deserialize(deserializer).map_err(|error| {
         let key = error.path().to_string();
         let fault = fleet::Fault::new(&key, &error.into_inner().to_string());
-        Refusal::invalid(vec![fault])
+        let mut refusal = Refusal::new(code, &format!("the body has a fault: {fault}"));
+        refusal.faults = vec![fault];
+        refusal
     })
 }
 
--- a/damaskdrift/src/operator/command/mod.rs
+++ b/damaskdrift/src/operator/command/mod.rs
@@ -2,7 +2,9 @@
 
 mod check;
 mod domain;
+mod moves;
 mod options;
+mod report;
 mod status;
 mod template;
 mod upstream;
@@ -49,6 +51,10 @@
     domain::STATUS,
     upstream::STATUS,
     status::STATUS,
+    moves::START,
+    moves::STATUS,
+    moves::CANCEL,
+    report::BURN,
 ];
 
 const COMMON_HELP: &str = "
@@ -145,6 +151,9 @@
     if !unconfirmed.is_empty() {
         let list = unconfirmed.join(", ");
         text.push_str(&format!("NOT CONFIRMED, may still work under the old document: {list}\n"));
+        if let Some(reason) = answer["reason"].as_str() {
+            text.push_str(&format!("because {reason}\n"));
+        }
         exit_code = cli::EXIT_UNCONFIRMED;
     }
     Output { json: answer, text, exit_code }
--- a/damaskdrift/src/operator/mod.rs
+++ b/damaskdrift/src/operator/mod.rs
@@ -1,12 +1,14 @@
 //! Operators' listener and the commands that call it.
 
 mod api;
+mod burn;
 pub mod change;
 mod client;
 pub mod command;
 mod document;
 mod error;
 pub mod listener;
+mod moves;
 mod refusal;
 pub mod status;
 
--- a/damaskdrift/src/operator/status.rs
+++ b/damaskdrift/src/operator/status.rs
@@ -1,7 +1,14 @@
 //! What an instance reports of itself.
 
+use std::sync;
+
+use damaskdrift_core::id;
+
 use crate::context;
-use crate::control::freshness;
+use crate::control::{driver, freshness, observe};
+use crate::operator::moves;
+use crate::peer;
+use crate::peer::message;
 
 /// Returns the instance's status.
 pub fn value(cx: &context::Context) -> serde_json::Value {
@@ -19,9 +26,32 @@
         "revision": snapshot.revision,
         "change": document.change,
         "failure_domains": document.failure_domains,
+        "driver": driver::last_known(cx),
+        "moves": moves::describe_all(cx),
+        "service_level": observe::totals(cx),
     })
 }
 
+/// Answers a peer's request for the status.
+pub fn handle_status(
+    cx: sync::Arc<context::Context>,
+    _peer: id::Instance,
+    _request: message::Request,
+) -> peer::Replying {
+    Box::pin(async move { message::Reply::Status(value(&cx).to_string()) })
+}
+
+/// Returns a peer's status, if it answers.
+pub async fn of_peer(
+    cx: &sync::Arc<context::Context>,
+    peer: &id::Instance,
+) -> Option<serde_json::Value> {
+    match peer::call(cx, peer, message::Request::Status).await {
+        Ok(message::Reply::Status(status)) => serde_json::from_str(&status).ok(),
+        _ => None,
+    }
+}
+
 /// Returns the upstreams of the installed document.
 pub fn upstreams(cx: &context::Context) -> serde_json::Value {
     let snapshot = cx.fleet.load();
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -80,6 +80,7 @@
     let draining = serving.drain();
     draining.finish(finish(&cx, callers)).await;
     control::slots::release_leases(&cx).await;
+    control::driver::release(&cx).await;
     stop.cancel();
     // The listener ends by itself; a panic in it was printed when it happened.
     let _ = operators.await;
@@ -124,5 +125,10 @@
     tokio::spawn(control::heartbeat::run(cx.clone()));
     tokio::spawn(control::sync::run(cx.clone()));
     control::slots::start(cx);
+    cx.peers.register(peer::Topic::Evidence, control::observe::handle_evidence);
+    cx.peers.register(peer::Topic::Status, operator::status::handle_status);
+    tokio::spawn(control::observe::run(cx.clone()));
+    tokio::spawn(control::observe::watch_cold(cx.clone()));
+    tokio::spawn(control::driver::run(cx.clone()));
     Ok(())
 }
--- a/damaskdrift_core/src/rollout/collector.rs
+++ b/damaskdrift_core/src/rollout/collector.rs
@@ -9,7 +9,7 @@
 
 /// Time for which latencies are held back; engines report a cold start with a lag,
 /// and the latencies seen in that lag say nothing about the version.
-pub const COLD_REPORT_LAG: Millis = Millis(1_000);
+pub const COLD_REPORT_LAG: Millis = Millis(1_500);
 
 /// Length of the slots in which the load is counted.
 const LOAD_SLOT: Millis = Millis(1_000);
@@ -73,7 +73,9 @@
             counts.failed += 1;
         }
         if sample.cold {
-            self.held.retain(|held| held.upstream != sample.upstream);
+            if let Some(upstream) = &sample.upstream {
+                self.mark_cold(upstream);
+            }
             return;
         }
         let mut counts = Counts::default();
@@ -88,6 +90,11 @@
         self.held.push_back(Held { at: now, upstream, key, counts });
     }
 
+    /// Drops the latencies held back of an upstream that turned out to be cold.
+    pub fn mark_cold(&mut self, upstream: &id::Upstream) {
+        self.held.retain(|held| held.upstream.as_ref() != Some(upstream));
+    }
+
     /// Takes the evidence collected since the last call.
     pub fn take(&mut self, now: Millis) -> Evidence {
         while let Some(held) = self.held.front() {
--- a/damaskdrift_core/src/slo/mod.rs
+++ b/damaskdrift_core/src/slo/mod.rs
@@ -46,6 +46,20 @@
     BetweenTokens,
 }
 
+/// Counts of a window pair, the short window first.
+pub type Counted = (Total, Total);
+
+/// Counts of one workspace and measure in all window pairs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Row {
+    /// The workspace.
+    pub workspace: id::Workspace,
+    /// The measure.
+    pub measure: Measure,
+    /// Counts by window pair.
+    pub windows: [Counted; PAIRS.len()],
+}
+
 /// Burn rates of one window pair.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Burn {
@@ -78,26 +92,42 @@
         series.count(now, is_good);
     }
 
-    /// Returns the burn rates of all series; `objective` gives a workspace's share of good requests.
-    pub fn report(
-        &self,
-        now: Millis,
-        objective: impl Fn(&id::Workspace) -> f64,
-    ) -> Vec<(id::Workspace, Measure, Vec<Burn>)> {
-        let mut report = Vec::new();
+    /// Returns the counts of all series.
+    pub fn totals(&self, now: Millis) -> Vec<Row> {
+        let mut rows = Vec::new();
         for ((workspace, measure), series) in &self.series {
-            report.push((workspace.clone(), *measure, burns(series, now, objective(workspace))));
+            let counted =
+                |pair: Pair| (series.total(now, pair.short), series.total(now, pair.long));
+            let windows = PAIRS.map(counted);
+            rows.push(Row { workspace: workspace.clone(), measure: *measure, windows });
+        }
+        rows
+    }
+}
+
+/// Adds the rows of several instances.
+pub fn merge(rows: impl IntoIterator<Item = Row>) -> Vec<Row> {
+    let mut merged: collections::BTreeMap<_, Row> = collections::BTreeMap::new();
+    for row in rows {
+        let key = (row.workspace.clone(), row.measure);
+        let Some(sum) = merged.get_mut(&key) else {
+            merged.insert(key, row);
+            continue;
+        };
+        for ((short, long), (more_short, more_long)) in sum.windows.iter_mut().zip(row.windows) {
+            short.add(more_short);
+            long.add(more_long);
         }
-        report
     }
+    merged.into_values().collect()
 }
 
-/// Returns the burn rates of a series against an objective below 1.
-pub fn burns(series: &Series, now: Millis, objective: f64) -> Vec<Burn> {
+/// Returns the burn rates of a row against an objective below 1.
+pub fn burns(row: &Row, objective: f64) -> Vec<Burn> {
     let mut burns = Vec::new();
-    for pair in PAIRS {
-        let short = burn_rate(series.total(now, pair.short), objective);
-        let long = burn_rate(series.total(now, pair.long), objective);
+    for (pair, (short, long)) in PAIRS.into_iter().zip(row.windows) {
+        let short = burn_rate(short, objective);
+        let long = burn_rate(long, objective);
         let is_alert = short > pair.limit && long > pair.limit;
         burns.push(Burn { pair, short, long, is_alert });
     }
--- a/damaskdrift_core/src/slo/series.rs
+++ b/damaskdrift_core/src/slo/series.rs
@@ -2,6 +2,8 @@
 
 use std::collections;
 
+use serde::{Deserialize, Serialize};
+
 use crate::time::Millis;
 
 /// Length of a bucket and of the time covered, by level. Buckets of 5 s for three days would take
@@ -14,7 +16,7 @@
 ];
 
 /// Requests and how many of them were bad.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Total {
     /// All requests.
     pub requests: u32,
@@ -28,6 +30,14 @@
     levels: [collections::VecDeque<(u64, Total)>; LEVELS.len()],
 }
 
+impl Total {
+    /// Adds other counts.
+    pub fn add(&mut self, other: Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.bad = self.bad.saturating_add(other.bad);
+    }
+}
+
 impl Series {
     /// Counts one request.
     pub fn count(&mut self, now: Millis, is_good: bool) {
@@ -56,8 +66,7 @@
         let mut total = Total::default();
         for (_, counts) in self.levels[level].iter().rev().take_while(|(index, _)| *index >= first)
         {
-            total.requests = total.requests.saturating_add(counts.requests);
-            total.bad = total.bad.saturating_add(counts.bad);
+            total.add(*counts);
         }
         total
     }
--- a/damaskdrift_core/tests/slo.rs
+++ b/damaskdrift_core/tests/slo.rs
@@ -18,8 +18,10 @@
             ledger.count(now, &workspace, slo::Measure::Availability, i >= bad(at));
         }
     }
-    let report = ledger.report(Millis::from_secs(secs - 1), |_| OBJECTIVE);
-    report.into_iter().next().expect("one series was counted").2
+    // Two instances that count the same have the burn rates of one.
+    let rows = ledger.totals(Millis::from_secs(secs - 1));
+    let merged = slo::merge(rows.clone().into_iter().chain(rows));
+    slo::burns(&merged[0], OBJECTIVE)
 }
 
 // Guards against alerts that come too early, stay after the fault, or miss a slow burn.
