Choose the route of a prompt by the share of a running move

The callers' path asks control::route for the route, again after a wait for a slot, so that a prompt that waited does not follow a vetoed move.

--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -22,7 +22,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, request_id, resume};
 use crate::context;
-use crate::control::{freshness, observe, roster, slots};
+use crate::control::{freshness, observe, roster, route, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, 0 highest to 3.
@@ -49,7 +49,7 @@
     prompt: Prompt,
     path: &'static str,
     priority: u8,
-    version: id::Version,
+    route: fleet::Route,
     started: Instant,
 }
 
@@ -67,8 +67,8 @@
         prompt: Prompt,
     ) -> Result<Self, Refusal> {
         let priority = parse_priority(headers)?;
-        let version = route(&caller, &prompt)?.version.clone();
-        Ok(Self { cx, caller, prompt, path, priority, version, started: Instant::now() })
+        let route = route(&cx, &caller, &prompt)?;
+        Ok(Self { cx, caller, prompt, path, priority, route, started: Instant::now() })
     }
 
     /// Sends the prompt to an engine and returns its answer.
@@ -76,11 +76,19 @@
     /// # Errors
     ///
     /// Returns a refusal when no engine answers.
-    pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
+    pub async fn run(mut self) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
         let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, self.targets()?);
         loop {
             let placed = attempts.place().await?;
+            // A move may have been vetoed while the prompt waited for a slot.
+            let route = route(&self.cx, &self.caller, &self.prompt)?;
+            if route != self.route {
+                self.route = route;
+                let targets = self.targets()?;
+                attempts = Attempts::new(&self.cx, &self.caller.workspace, true, targets);
+                continue;
+            }
             let refusal = match self.attempt(placed).await {
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
@@ -218,8 +226,7 @@
     }
 
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
-        let route = route(&self.caller, &self.prompt)?;
-        let engines = self.caller.fleet.engines(&self.prompt.model, route);
+        let engines = self.caller.fleet.engines(&self.prompt.model, &self.route);
         let engines = engines.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             engines.filter_map(|(id, engine)| upstream::Target::new(id, engine)).collect();
@@ -234,7 +241,7 @@
     ) -> observe::Observation {
         observe::Observation {
             workspace: self.caller.workspace.clone(),
-            version: Some((self.prompt.model.clone(), self.version.clone())),
+            version: Some((self.prompt.model.clone(), self.route.version.clone())),
             upstream: Some(target.id.clone()),
             succeeded: false,
             first_token: None,
@@ -244,8 +251,11 @@
     }
 }
 
-fn route<'a>(caller: &'a Caller, prompt: &Prompt) -> Result<&'a fleet::Route, Refusal> {
-    caller.policy()?.models.get(&prompt.model).ok_or_else(|| {
+fn route(cx: &context::Context, caller: &Caller, prompt: &Prompt) -> Result<fleet::Route, Refusal> {
+    let hash = blake3::hash(&prompt.root);
+    let (first, _) = hash.as_bytes().split_first_chunk().expect("a hash is longer than 8 bytes");
+    let root_hash = u64::from_le_bytes(*first);
+    route::choose(cx, &caller.fleet, &caller.workspace, &prompt.model, root_hash).ok_or_else(|| {
         let message = format!("the workspace may not use model {:?}", prompt.model.as_str());
         Refusal::new(code::Code::UnknownModel, &message)
     })
--- a/damaskdrift/src/control/route.rs
+++ b/damaskdrift/src/control/route.rs
@@ -18,8 +18,16 @@
     root_hash: u64,
 ) -> Option<fleet::Route> {
     let template = snapshot.policies.get(workspace)?.models.get(model)?;
-    let is_vetoed = |name: &id::Move| cx.vetoes.contains(name);
+    let is_vetoed = |name: &id::Move| cx.vetoes.contains(name) || is_undone(cx, name);
     let choice =
         rollout::choose(&snapshot.document, workspace, model, template, root_hash, is_vetoed);
     Some(choice.route.clone())
 }
+
+/// Returns whether a move that may still run in a request's snapshot is undone by now. The veto is
+/// dropped as soon as that is recorded.
+fn is_undone(cx: &context::Context, name: &id::Move) -> bool {
+    let fleet = cx.fleet.load();
+    let state = fleet.document.moves.get(name).map(|m| &m.state);
+    matches!(state, Some(fleet::MoveState::RolledBack { .. } | fleet::MoveState::Cancelled))
+}
