--- /dev/null
+++ b/damaskdrift_lab/tests/operators.rs
@@ -0,0 +1,135 @@
+//! Tests of the operators' commands and listener with real processes.
+
+use std::process::{Command, Output};
+
+use damaskdrift_lab::harness::fleet::{MODEL, WORKSPACE};
+use damaskdrift_lab::harness::instance::OPERATOR_TOKEN;
+use damaskdrift_lab::harness::{Call, Fleet, binary};
+use hyper::Method;
+use rstest::rstest;
+
+/// Runs a command against an instance; the token comes from the environment.
+fn command(fleet: &Fleet, args: &[&str]) -> Output {
+    let instance = &fleet.instances[0];
+    Command::new(binary::find(binary::DAMASKDRIFT).expect("the binary is built"))
+        .args(args)
+        .env("DAMASKDRIFT_INSTANCE", instance.listen.operators.to_string())
+        .env("DAMASKDRIFT_TOKEN", OPERATOR_TOKEN)
+        .output()
+        .expect("the command runs")
+}
+
+/// Runs a command and returns its exit code and all it printed.
+fn run(fleet: &Fleet, args: &[&str]) -> (i32, String) {
+    let output = command(fleet, args);
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let code = output.status.code().expect("the command exits by itself");
+    (code, text(&output.stdout) + &text(&output.stderr))
+}
+
+async fn start() -> Fleet {
+    let builder = Fleet::builder().with_failure_domains(&["a", "b"]).with_instances(2);
+    builder.with_engines(2).start().await.expect("the fleet starts")
+}
+
+/// Guards against a document that does not survive show and apply, a lost conflict, and a failure
+/// domain that stays in although the command said otherwise.
+#[tokio::test]
+async fn changes_are_applied_once_and_conflicts_name_the_winner() {
+    let fleet = start().await;
+    let (code, shown) = run(&fleet, &["template", "show"]);
+    assert_eq!(code, 0, "{shown}");
+    let file = tempfile::NamedTempFile::new().expect("a file can be made");
+    std::fs::write(file.path(), &shown).expect("the file can be written");
+    let path = file.path().to_str().expect("the path is UTF-8");
+
+    let (code, text) = run(&fleet, &["domain", "out", "b", "--author", "ann"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("confirmed by 2 instances"), "{text}");
+    assert!(run(&fleet, &["domain", "status"]).1.contains("b  out"));
+
+    let (code, text) = run(&fleet, &["template", "apply", path]);
+    assert_eq!(code, 1, "{text}");
+    assert!(text.contains("[2002]") && text.contains("\"domain out b\" by ann"), "{text}");
+    assert!(run(&fleet, &["domain", "status"]).1.contains("b  out"));
+
+    let (_, shown) = run(&fleet, &["template", "show"]);
+    std::fs::write(file.path(), &shown).expect("the file can be written");
+    let (before, _) = fleet.document().await.expect("the document can be read");
+    let (code, text) = run(&fleet, &["template", "apply", path]);
+    assert_eq!(code, 0, "{text}");
+    let (after, _) = fleet.document().await.expect("the document can be read");
+    assert!(before.secret == after.secret, "the secret was lost");
+    assert_eq!((before.upstreams, before.workspaces), (after.upstreams, after.workspaces));
+    let (_, history) = run(&fleet, &["template", "history"]);
+    assert!(history.contains("ann: domain out b"), "{history}");
+}
+
+/// Guards against bad input that is taken, or refused without saying what to do.
+#[rstest]
+#[case::unknown_domain(&["domain", "out", "x"], 1, "declared are: a, b")]
+#[case::bad_domain(&["domain", "out", "../fleet"], 2, "see 'domain status'")]
+#[case::no_argument(&["domain", "out"], 2, "takes 1 arguments (ID)")]
+#[case::unknown_option(&["status", "--x"], 2, "--help")]
+#[case::unknown_command(&["frobnicate"], 2, "see 'damaskdrift --help'")]
+#[case::bad_address(&["status", "--instance", "here"], 2, "is not IP:PORT")]
+#[case::nobody_there(&["status", "--instance", "127.0.0.1:1"], 1, "name another instance")]
+#[case::missing_file(&["check", "/nonexistent"], 1, "cannot access /nonexistent")]
+#[case::no_engine(
+    &["move", "start", "m", "--workspace", WORKSPACE, "--model", MODEL, "--version", "v9",
+      "--within", "1m"], 1, "add one with 'damaskdrift template apply'")]
+#[case::bad_time(
+    &["move", "start", "m", "--workspace", WORKSPACE, "--model", MODEL, "--within", "soon"],
+    2, "is not a time such as 90s")]
+#[case::unknown_move(&["move", "cancel", "m"], 1, "see 'damaskdrift move status'")]
+#[tokio::test]
+async fn bad_input_is_explained(#[case] args: &[&str], #[case] want: i32, #[case] hint: &str) {
+    let fleet = Fleet::builder().with_failure_domains(&["a", "b"]).with_instances(2);
+    let fleet = fleet.with_engines(1).start().await.expect("the fleet starts");
+    let (_, before) = fleet.document().await.expect("the document can be read");
+    let (code, text) = run(&fleet, args);
+    assert_eq!(code, want, "{text}");
+    assert!(text.contains(hint), "{text}");
+    let (_, after) = fleet.document().await.expect("the document can be read");
+    assert_eq!(before, after, "the document was changed");
+}
+
+/// Guards against a listener that answers without the token, or needs it for health and metrics.
+#[tokio::test]
+async fn listener_needs_the_token() {
+    let fleet = Fleet::builder().start().await.expect("the fleet starts");
+    let address = fleet.instances[0].listen.operators;
+    for (method, path) in [(Method::GET, "/v1/fleet"), (Method::PUT, "/v1/fleet?expected=0")] {
+        for token in ["", "wrong", "operator-toke", "operator-token2"] {
+            let call = Call::new(method.clone(), address, path).with_bearer(token);
+            let answer = fleet.http.send(call).await.expect("the instance answers");
+            assert_eq!(answer.status, 401, "{token:?}");
+        }
+        let bare = Call::new(method, address, path);
+        assert_eq!(fleet.http.send(bare).await.expect("the instance answers").status, 401);
+    }
+    for path in ["/metrics", "/healthz", "/readyz"] {
+        let call = Call::get(address, path);
+        assert_eq!(fleet.http.send(call).await.expect("the instance answers").status, 200);
+    }
+}
+
+/// Guards against a check that stops at the first fault or does not say where it is.
+#[tokio::test]
+async fn check_reports_all_faults_with_lines() {
+    let fleet = Fleet::builder().start().await.expect("the fleet starts");
+    let text = "[failure_domains.a]\nstate = \"outt\"\n[workspaces.mill]\nkey_hash = 5\n\
+                template = \"x\"\n[upstreams.e1]\naddres = \"127.0.0.1:9\"\n[bogus]\n";
+    let file = tempfile::NamedTempFile::new().expect("a file can be made");
+    std::fs::write(file.path(), text).expect("the file can be written");
+    let (code, text) = run(&fleet, &["check", file.path().to_str().expect("the path is UTF-8")]);
+    assert_eq!(code, 1, "{text}");
+    for fault in [
+        "line 2: failure_domains.a.state",
+        "line 4: workspaces.mill.key_hash",
+        "line 7: upstreams.e1.addres",
+        "line 8: bogus",
+    ] {
+        assert!(text.contains(fault), "{fault} is missing in {text}");
+    }
+}
