--- a/damaskdrift/src/operator/status.rs
+++ b/damaskdrift/src/operator/status.rs
@@ -1,7 +1,14 @@
 //! What an instance reports of itself.
 
+use std::sync;
+
+use damaskdrift_core::id;
+
 use crate::context;
-use crate::control::{freshness, sync};
+use crate::control::{driver, freshness, observe, sync as config};
+use crate::operator::moves;
+use crate::peer;
+use crate::peer::message;
 
 /// Returns the instance's status.
 pub fn value(cx: &context::Context) -> serde_json::Value {
@@ -19,10 +26,13 @@
         "freshness": freshness::decide(cx).to_string(),
         "revision": snapshot.revision,
         "known_revision": cx.sync.state().known(),
-        "watches_service": sync::is_watcher(cx),
+        "watches_service": config::is_watcher(cx),
         "members": members(cx),
         "change": document.change,
         "failure_domains": document.failure_domains,
+        "driver": driver::last_known(cx),
+        "moves": moves::describe_all(cx),
+        "service_level": observe::totals(cx),
     })
 }
 
@@ -39,6 +49,26 @@
     members.collect()
 }
 
+/// Answers a peer's request for the status.
+pub fn handle_status(
+    cx: sync::Arc<context::Context>,
+    _peer: id::Instance,
+    _request: message::Request,
+) -> peer::Replying {
+    Box::pin(async move { message::Reply::Status(value(&cx).to_string()) })
+}
+
+/// Returns a peer's status, if it answers.
+pub async fn of_peer(
+    cx: &sync::Arc<context::Context>,
+    peer: &id::Instance,
+) -> Option<serde_json::Value> {
+    match peer::call(cx, peer, message::Request::Status).await {
+        Ok(message::Reply::Status(status)) => serde_json::from_str(&status).ok(),
+        _ => None,
+    }
+}
+
 /// Returns the upstreams of the installed document.
 pub fn upstreams(cx: &context::Context) -> serde_json::Value {
     let snapshot = cx.fleet.load();
