--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use damaskdrift_core::block;
 use damaskdrift_core::code;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
@@ -13,16 +12,17 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
+use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
 
-use crate::caller::attempts::{Attempts, Placed};
+use crate::caller::attempts::{self, Attempts, Placed};
 use crate::caller::prompt::Prompt;
 use crate::caller::refusal::Refusal;
 use crate::caller::relay;
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, request_id, resume};
 use crate::context;
-use crate::control::{freshness, observe, roster, slots};
+use crate::control::{cache, freshness, observe, roster, route, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, 0 highest to 3.
@@ -40,6 +40,7 @@
     conn: upstream::Connection,
     response: Response<Incoming>,
     slot: slots::Slot,
+    sent: cache::Sent,
 }
 
 /// A prompt on its way to an engine.
@@ -49,7 +50,8 @@
     prompt: Prompt,
     path: &'static str,
     priority: u8,
-    version: id::Version,
+    route: fleet::Route,
+    cached: cache::Prompt,
     started: Instant,
 }
 
@@ -67,8 +69,9 @@
         prompt: Prompt,
     ) -> Result<Self, Refusal> {
         let priority = parse_priority(headers)?;
-        let version = route(&caller, &prompt)?.version.clone();
-        Ok(Self { cx, caller, prompt, path, priority, version, started: Instant::now() })
+        let route = route(&cx, &caller, &prompt)?;
+        let cached = cached(&caller, &prompt, &route);
+        Ok(Self { cx, caller, prompt, path, priority, route, cached, started: Instant::now() })
     }
 
     /// Sends the prompt to an engine and returns its answer.
@@ -77,10 +80,26 @@
     ///
     /// Returns a refusal when no engine answers.
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
+        let cx = self.cx.clone();
+        attempts::detach(&cx, |gone| async move { self.answer(gone).await }).await
+    }
+
+    async fn answer(mut self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
-        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, self.targets()?);
+        let (mut attempts, mut plan) = self.prepare(&gone).await?;
         loop {
             let placed = attempts.place().await?;
+            // A move may have been vetoed while the prompt waited for a slot.
+            let route = route(&self.cx, &self.caller, &self.prompt)?;
+            if route != self.route {
+                self.cached = cached(&self.caller, &self.prompt, &route);
+                self.route = route;
+                (attempts, plan) = self.prepare(&gone).await?;
+                continue;
+            }
+            if let Some(plan) = &plan {
+                cache::import(&self.cx, &self.cached, plan, &placed.target).await;
+            }
             let refusal = match self.attempt(placed).await {
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
@@ -117,10 +136,11 @@
         observation: &observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
         let wait = self.cx.upstreams.timeouts().answer;
-        let sent = conn.send(self.request(&stream.request), wait).await;
-        let response = match sent {
+        let sent = cache::sent(&self.cx, &self.cached, &stream.target.id);
+        let response = match conn.send(self.request(&stream.request), wait).await {
             Ok(response) => response,
             Err(failure) => {
+                self.cx.upstreams.note_failure(&stream.target);
                 slots::lost(&self.cx, &stream.target.id);
                 let response;
                 (conn, response) = self.recover(stream, &conn, failure).await?;
@@ -132,7 +152,7 @@
                 format!("{} answered with status {}", stream.target.id, response.status());
             return Err(Refusal::unknown(code::Code::UpstreamError, &message));
         }
-        let answer = Answering { stream: stream.clone(), conn, response, slot };
+        let answer = Answering { stream: stream.clone(), conn, response, slot, sent };
         if is_event_stream(answer.response.headers()) {
             self.stream(answer, observation.clone()).await
         } else {
@@ -163,11 +183,14 @@
         answer: Answering,
         mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
-        let Answering { stream, conn, response, slot } = answer;
+        let Answering { stream, conn, response, slot, sent } = answer;
+        let upstream = stream.target.id.clone();
         let (head, body) = response.into_parts();
         let head = answer::Head::new(&head, &stream.request);
         let mut source = relay::Source::new(&self.cx, stream, conn, Some(body), 0).with_slot(slot);
         let first = source.next().await?;
+        drop(sent);
+        cache::computed(&self.cx, &self.caller.fleet, &self.cached, &upstream);
         observation.first_token = Some(self.started.elapsed().into());
         let (tx, rx) = relay::channel();
         let cx = self.cx.clone();
@@ -185,14 +208,16 @@
         answer: Answering,
         mut observation: observe::Observation,
     ) -> Result<warp::reply::Response, Refusal> {
-        let Answering { stream, conn, mut response, slot: _slot } = answer;
+        let Answering { stream, conn, mut response, slot: _slot, sent } = answer;
         let wait = self.cx.upstreams.timeouts().answer;
         let read = upstream::read_all(response.body_mut(), MAX_ANSWER_BYTES, wait).await;
         let body = read.inspect_err(|_| slots::lost(&self.cx, &stream.target.id))?;
+        drop(sent);
         let (head, _) = response.into_parts();
         observation.succeeded = true;
         observation.first_token = Some(self.started.elapsed().into());
         if !head.status.is_client_error() {
+            cache::computed(&self.cx, &self.caller.fleet, &self.cached, &stream.target.id);
             observe::record(&self.cx, &observation);
         }
         if let Some(boot) = &conn.boot {
@@ -205,21 +230,30 @@
 
     fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
         let workspace = &self.caller.workspace;
-        let secret = &self.caller.fleet.document.secret;
-        let root = block::root(secret, workspace, &self.prompt.model);
         Request::post(self.path)
             .header(header::CONTENT_TYPE, "application/json")
             .header(answer::REQUEST_ID, request.as_str())
             .header("x-workspace", workspace.as_str())
-            .header("x-cache-root", root.to_string())
+            .header("x-cache-root", self.cached.root.to_string())
             .header(PRIORITY, u16::from(self.priority))
             .body(Full::new(self.prompt.body.clone()))
             .expect("ids and numbers are valid header values")
     }
 
+    /// Ranks the engines of the route and plans what to import before the prompt is sent.
+    async fn prepare(
+        &self,
+        gone: &CancellationToken,
+    ) -> Result<(Attempts, Option<cache::Placed>), Refusal> {
+        let mut targets = self.targets()?;
+        let fleet = &self.caller.fleet;
+        let plan = cache::place(&self.cx, fleet, &self.cached, &mut targets).await;
+        let attempts = Attempts::new(&self.cx, &self.caller.workspace, targets);
+        Ok((attempts.with_caller_gone(gone.clone()), plan))
+    }
+
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
-        let route = route(&self.caller, &self.prompt)?;
-        let engines = self.caller.fleet.engines(&self.prompt.model, route);
+        let engines = self.caller.fleet.engines(&self.prompt.model, &self.route);
         let engines = engines.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             engines.filter_map(|(id, engine)| upstream::Target::new(id, engine)).collect();
@@ -234,7 +268,7 @@
     ) -> observe::Observation {
         observe::Observation {
             workspace: self.caller.workspace.clone(),
-            version: Some((self.prompt.model.clone(), self.version.clone())),
+            version: Some((self.prompt.model.clone(), self.route.version.clone())),
             upstream: Some(target.id.clone()),
             succeeded: false,
             first_token: None,
@@ -244,13 +278,21 @@
     }
 }
 
-fn route<'a>(caller: &'a Caller, prompt: &Prompt) -> Result<&'a fleet::Route, Refusal> {
-    caller.policy()?.models.get(&prompt.model).ok_or_else(|| {
+fn route(cx: &context::Context, caller: &Caller, prompt: &Prompt) -> Result<fleet::Route, Refusal> {
+    let hash = blake3::hash(&prompt.root);
+    let (first, _) = hash.as_bytes().split_first_chunk().expect("a hash is longer than 8 bytes");
+    let root_hash = u64::from_le_bytes(*first);
+    route::choose(cx, &caller.fleet, &caller.workspace, &prompt.model, root_hash).ok_or_else(|| {
         let message = format!("the workspace may not use model {:?}", prompt.model.as_str());
         Refusal::new(code::Code::UnknownModel, &message)
     })
 }
 
+fn cached(caller: &Caller, prompt: &Prompt, route: &fleet::Route) -> cache::Prompt {
+    let secret = &caller.fleet.document.secret;
+    cache::Prompt::new(secret, &caller.workspace, &prompt.model, &route.version, &prompt.text)
+}
+
 fn parse_priority(headers: &HeaderMap) -> Result<u8, Refusal> {
     match request::single(headers, &PRIORITY)? {
         None => Ok(DEFAULT_PRIORITY),
