End a change's wait once every instance is classed

A frozen process was once still confirming, because SIGSTOP takes effect late.

Change: `Propagation::is_settled`; the test waits 100 ms after the fault.

--- a/damaskdrift/src/control/spread.rs
+++ b/damaskdrift/src/control/spread.rs
@@ -175,13 +175,12 @@
     let roster = cx.membership().roster(now);
     let own = &cx.settings.instance.id;
     let mut propagation = config_sync::Propagation::new(own, roster.as_ref(), now);
-    let deadline = propagation.deadline(limit);
     let mut pushes = task::JoinSet::new();
     for peer in propagation.silent() {
         pushes.spawn(push(cx.clone(), peer.clone(), value.clone()));
     }
     let mut ticks = time::interval(ROSTER_INTERVAL);
-    while !propagation.is_complete() && cx.now() < deadline {
+    while !propagation.is_settled(cx.now(), limit) {
         tokio::select! {
             Some(confirmed) = pushes.join_next() => {
                 if let Ok(peer) = confirmed {
--- a/damaskdrift_core/src/config_sync/propagation.rs
+++ b/damaskdrift_core/src/config_sync/propagation.rs
@@ -95,14 +95,12 @@
         }
     }
 
-    /// Returns whether every member has confirmed.
-    pub fn is_complete(&self) -> bool {
-        self.confirmed.len() == self.roster.len()
-    }
-
-    /// Returns the moment at which the writer stops waiting.
-    pub fn deadline(&self, limit: Millis) -> Millis {
-        self.written + limit + CLAIM_MARGIN
+    /// Returns whether the writer has nothing to wait for at `now`: every member is classed as
+    /// confirmed or stopped, or the time for confirmations is over.
+    pub fn is_settled(&self, now: Millis, limit: Millis) -> bool {
+        let reason = self.reason(now, limit);
+        matches!(reason, ClaimReason::Complete | ClaimReason::LimitPassed)
+            || now >= self.written + limit + CLAIM_MARGIN
     }
 
     /// Returns the members that have not confirmed.
@@ -130,7 +128,7 @@
         if self.roster_changed {
             return ClaimReason::RosterChanged;
         }
-        if self.is_complete() {
+        if self.confirmed.len() == self.roster.len() {
             return ClaimReason::Complete;
         }
         let Some(half_confirmed) = self.half_confirmed else { return ClaimReason::Minority };
--- a/damaskdrift_core/tests/config_sync.rs
+++ b/damaskdrift_core/tests/config_sync.rs
@@ -126,6 +126,25 @@
     assert_eq!(claim.stopped.is_empty(), reason != config_sync::ClaimReason::LimitPassed);
 }
 
+// Guards against a command that waits beyond the bound, or ends before it can class its members.
+#[rstest]
+#[case::all_confirmed(4, 0, true)]
+#[case::before_the_limit(2, 2_099, false)]
+#[case::after_the_limit(2, 2_100, true)]
+#[case::minority(1, 2_499, false)]
+#[case::minority_at_the_end(1, 2_500, true)]
+fn a_writer_waits_until_all_members_are_classed(
+    #[case] confirmed: usize,
+    #[case] now: u64,
+    #[case] settled: bool,
+) {
+    let mut propagation = config_sync::Propagation::new(&instance(0), Some(&roster(4)), Millis(0));
+    for peer in 1..confirmed {
+        propagation.confirm(&instance(peer), Millis(0));
+    }
+    assert_eq!(propagation.is_settled(Millis(now), LIMIT), settled);
+}
+
 // Guards against a claim over a roster that a silent instance may see differently.
 #[test]
 fn a_changed_roster_leaves_silent_instances_unconfirmed() {
--- a/damaskdrift_lab/tests/domain_out.rs
+++ b/damaskdrift_lab/tests/domain_out.rs
@@ -46,6 +46,8 @@
     time::sleep(Duration::from_millis(500)).await;
     assert!(common::engine_requests(&fleet, 0).await > 0, "the domain receives work before");
     common::trouble(&mut fleet, trouble).await;
+    // A stop signal takes effect in each thread only when it is scheduled next.
+    time::sleep(Duration::from_millis(100)).await;
 
     let sent = Instant::now();
     let answer = common::take_out(&fleet, 0, "a").await;
