--- a/damaskdrift/src/caller/relay.rs
+++ b/damaskdrift/src/caller/relay.rs
@@ -22,7 +22,9 @@
 /// Last bytes of a complete stream of events.
 const END: &[u8] = b"data: [DONE]\n\n";
 /// Attempts to resume a broken stream without receiving a byte before it is given up.
-const RESUME_ATTEMPTS: u32 = 5;
+const RESUME_ATTEMPTS: u32 = 7;
+/// The same for a stream that has not begun; another engine may begin it anew.
+const FIRST_ATTEMPTS: u32 = 2;
 /// Wait before the second attempt to resume; it doubles with each further one.
 const RESUME_WAIT: Duration = Duration::from_millis(50);
 
@@ -84,7 +86,7 @@
             start: offset,
             offset,
             tail: Vec::new(),
-            attempts_left: RESUME_ATTEMPTS,
+            attempts_left: if offset == 0 { FIRST_ATTEMPTS } else { RESUME_ATTEMPTS },
             slot: None,
         }
     }
@@ -189,6 +191,8 @@
                     log::info!("{} not resumed: {}", self.stream.request, response.status());
                     break;
                 }
+                // A restarted engine has lost the stream.
+                Err(error) if error.code == code::Code::NoUpstream => break,
                 Err(error) => log::debug!("{} not resumed: {error}", self.stream.request),
             }
         }
--- a/damaskdrift/src/upstream/pool.rs
+++ b/damaskdrift/src/upstream/pool.rs
@@ -92,7 +92,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why it cannot be opened; no byte of a caller's request was sent.
+    /// Returns why it cannot be opened, with `NoUpstream` when the upstream has another start by now;
+    /// no byte of a caller's request was sent.
     pub async fn open(
         &self,
         target: &Target,
@@ -103,7 +104,7 @@
         let conn = opened?;
         if boot.is_some() && conn.boot.as_ref() != boot {
             let message = format!("{} has restarted since its slot was granted", target.id);
-            return Err(Failure::unsent(code::Code::ConnectFailed, message));
+            return Err(Failure::unsent(code::Code::NoUpstream, message));
         }
         Ok(conn)
     }
