Add the experiments config-spread and control-cost

config-spread measures the time until all of 2 to 32 instances have a change, against instances that poll the service each 500 ms; control-cost measures what an idle instance costs, with slopes.

--- /dev/null
+++ b/damaskdrift_lab/src/experiment/config_spread.rs
@@ -0,0 +1,128 @@
+//! Experiment `config-spread`: time until all instances have a change.
+
+use std::process;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::{self, Instant};
+
+use crate::error::Error;
+use crate::experiment::idle_fleet;
+use crate::experiment::measure;
+use crate::harness::Fleet;
+
+/// Changes of each kind and fleet size.
+const ROUNDS: usize = 10;
+/// Largest time until all of 8 instances have a change.
+const TARGET: Duration = Duration::from_secs(2);
+/// Pause between two changes; it is no multiple of the watch time, so that changes fall into all
+/// parts of a watch.
+const PAUSE: Duration = Duration::from_millis(330);
+
+const HELP: &str = "\
+Measure the time until all instances have a change, for 2 to 32 instances
+
+Usage: damaskdrift_lab experiment config-spread
+
+Changes are made through an instance, which pushes them, and past all instances, so that only the
+watches see them. Baseline: every instance polls the service each 500 ms.
+";
+
+/// Times until all instances have a change, in milliseconds.
+#[derive(Default)]
+struct Times {
+    operator: Vec<f64>,
+    service: Vec<f64>,
+    polling: Vec<f64>,
+}
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Returns what could not be measured.
+pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
+    if let Some(arg) = args.next()? {
+        if matches!(arg, lexopt::Arg::Short('h') | lexopt::Arg::Long("help")) {
+            print!("{HELP}");
+            return Ok(process::ExitCode::SUCCESS);
+        }
+        return Err(arg.unexpected().into());
+    }
+    println!("config-spread, {ROUNDS} changes each; ms until all instances have it, median/max");
+    let mut operator = Vec::new();
+    let mut service = Vec::new();
+    for instances in idle_fleet::SIZES {
+        let times = measure_size(instances).await?;
+        let (operator_median, operator_max) = measure::median_and_max(times.operator);
+        let (service_median, service_max) = measure::median_and_max(times.service);
+        let (polling_median, polling_max) = measure::median_and_max(times.polling);
+        operator.push((instances as f64, operator_median));
+        service.push((instances as f64, service_median));
+        let baseline = format!("{polling_median:.0}/{polling_max:.0} ms");
+        let limit = TARGET.as_millis() as f64;
+        for (writer, median, max) in [
+            ("an instance", operator_median, operator_max),
+            ("the service", service_median, service_max),
+        ] {
+            let name = format!("change through {writer}, {instances} instances");
+            let value = format!("{median:.0}/{max:.0} ms");
+            println!("{}", measure::line(&name, &baseline, &value, "max 2000 ms", max <= limit));
+        }
+    }
+    println!("slope through an instance: {:.2} ms per instance", measure::slope(&operator));
+    println!("slope through the service: {:.2} ms per instance", measure::slope(&service));
+    Ok(process::ExitCode::SUCCESS)
+}
+
+async fn measure_size(instances: usize) -> Result<Times, Error> {
+    let fleet = idle_fleet::start(instances).await?;
+    let mut times = Times::default();
+    for round in 0..ROUNDS {
+        times.operator.push(change_by_operator(&fleet, round).await?);
+        time::sleep(PAUSE).await;
+        let (service, polling) = change_by_service(&fleet, round).await?;
+        times.service.push(service);
+        times.polling.push(polling);
+        time::sleep(PAUSE).await;
+    }
+    Ok(times)
+}
+
+async fn change_by_operator(fleet: &Fleet, round: usize) -> Result<f64, Error> {
+    let (_, revision) = fleet.document().await?;
+    let state = if round.is_multiple_of(2) { "out" } else { "in" };
+    let path = format!("/v1/domains/a/{state}?expected={revision}");
+    let instance = &fleet.instances[round % fleet.instances.len()];
+    let written = Instant::now();
+    let answer = instance.send(instance.operator_call(hyper::Method::POST, &path)).await?;
+    let answer: Value = answer.ok()?.json()?;
+    let confirmed = answer["confirmed"].as_array().map_or(0, Vec::len);
+    if confirmed != fleet.instances.len() {
+        return Err(Error::Unexpected(format!("not all instances confirmed: {answer}")));
+    }
+    Ok(written.elapsed().as_secs_f64() * 1e3)
+}
+
+async fn change_by_service(fleet: &Fleet, round: usize) -> Result<(f64, f64), Error> {
+    let started = Instant::now();
+    let written = async {
+        time::sleep(PAUSE).await;
+        let from = Instant::now();
+        let revision =
+            fleet.edit_document(|document| document.change.id = format!("round-{round}")).await?;
+        Ok::<_, Error>((from, revision))
+    };
+    let (_, before) = fleet.document().await?;
+    // The pollers begin before the change, so that it falls between two of their reads.
+    let polling = idle_fleet::poll_until(fleet, fleet.instances.len(), before + 1, started);
+    let service = async {
+        let (from, revision) = written.await?;
+        let spread = idle_fleet::wait_for_revision(fleet, revision, from).await?;
+        Ok::<_, Error>((from, spread))
+    };
+    let (polling, service) = tokio::join!(polling, service);
+    let (from, spread) = service?;
+    let polling = (started + polling?).duration_since(from);
+    Ok((spread.as_secs_f64() * 1e3, polling.as_secs_f64() * 1e3))
+}
--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -1,5 +1,9 @@
 //! Experiments that measure a policy against its baseline.
 
+mod config_spread;
+mod control_cost;
+mod idle_fleet;
+mod measure;
 mod version_moves;
 
 use std::process;
@@ -16,6 +20,8 @@
 pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
     let name = args.value()?.string()?;
     match name.as_str() {
+        "config-spread" => config_spread::run(args).await,
+        "control-cost" => control_cost::run(args).await,
         "version-moves" => version_moves::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
