Add the experiment that measures an instance's overhead

Change: experiment overhead sends 1,000 requests a second in turns of one second to the engine stand-in directly and through an instance, and samples the resident memory at 1,000 open streams. It prints the load of the machine beside the figures, because other processes add to p99.

--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -1,5 +1,8 @@
 //! Experiments that measure a policy against its baseline.
 
+mod measure;
+mod overhead;
+
 use std::process;
 
 use lexopt::ValueExt as _;
@@ -13,5 +16,8 @@
 /// Returns why the experiment could not run.
 pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
     let name = args.value()?.string()?;
-    Err(Error::Usage(format!("unknown experiment {name:?}")))
+    match name.as_str() {
+        "overhead" => overhead::run(args).await,
+        other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
+    }
 }
