--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 mod domain_move;
 mod measure;
+mod overhead;
 mod version_moves;
 
 use std::process;
@@ -19,6 +20,7 @@
     let name = args.value()?.string()?;
     match name.as_str() {
         "domain-move" => domain_move::run(args).await,
+        "overhead" => overhead::run(args).await,
         "version-moves" => version_moves::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
