--- a/damaskdrift/src/caller/attempts.rs
+++ b/damaskdrift/src/caller/attempts.rs
@@ -40,8 +40,6 @@
         workspace: &id::Workspace,
         mut targets: Vec<upstream::Target>,
     ) -> Self {
-        let leaving = cx.leaving_upstreams.load();
-        targets.retain(|target| !leaving.contains(&target.id));
         cx.upstreams.demote_failing(&mut targets);
         cx.retry_budgets().add(workspace);
         Self {
--- a/damaskdrift/src/caller/mod.rs
+++ b/damaskdrift/src/caller/mod.rs
@@ -21,6 +21,7 @@
 use bytes::{Buf, Bytes};
 use damaskdrift_core::code;
 use futures_util::Stream;
+use hyper::header;
 use hyper::server::conn::http1;
 use hyper::{HeaderMap, Method};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -36,6 +37,7 @@
 use crate::caller::request::Caller;
 use crate::caller::service::Call;
 use crate::context;
+use crate::control::lifecycle;
 
 /// Wait after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
@@ -142,7 +144,20 @@
             Err(Refusal::new(code::Code::UnknownRoute, "no route has this method and path"))
         })
     });
-    completions.or(chat).unify().or(streams).unify().or(services).unify().or(unknown).unify()
+    let answers =
+        completions.or(chat).unify().or(streams).unify().or(services).unify().or(unknown).unify();
+    let cx = cx.clone();
+    answers.map(move |response| announce_stop(&cx, response))
+}
+
+/// Tells callers of a draining instance to open their next connection elsewhere, so that none is
+/// closed while it carries a new request.
+fn announce_stop(cx: &context::Context, mut response: Response) -> Response {
+    if cx.lifecycle.phase() >= lifecycle::Phase::Draining {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
 }
 
 async fn respond(answer: impl Future<Output = Result<Response, Refusal>>) -> Response {
@@ -174,7 +189,7 @@
 ) -> Result<Response, Refusal> {
     let caller = Caller::new(&cx, &headers)?;
     let body = read(&cx, body).await?;
-    Call::new(cx, caller, &service, method, path, &headers, body).run().await
+    Call::new(cx, caller, &service, method, &path, &headers, body)?.run().await
 }
 
 async fn read<B: Buf>(
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::header;
 use hyper::header::HeaderName;
+use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
@@ -43,7 +44,7 @@
     service: id::Service,
     method: Method,
     /// Path and query below the service.
-    path: String,
+    path: PathAndQuery,
     headers: HeaderMap,
     body: Bytes,
     started: Instant,
@@ -62,18 +63,25 @@
 
 impl Call {
     /// Prepares a call of an authenticated caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the path cannot be passed on.
     pub fn new(
         cx: sync::Arc<context::Context>,
         caller: Caller,
         service: &str,
         method: Method,
-        path: String,
+        path: &str,
         headers: &HeaderMap,
         body: Bytes,
-    ) -> Self {
+    ) -> Result<Self, Refusal> {
         let headers = passed_on(headers);
         let service = id::Service::new(service);
-        Self { cx, caller, service, method, path, headers, body, started: Instant::now() }
+        let path = path.parse().map_err(|error| {
+            Refusal::new(code::Code::UnknownRoute, &format!("the path is not valid: {error}"))
+        })?;
+        Ok(Self { cx, caller, service, method, path, headers, body, started: Instant::now() })
     }
 
     /// Runs the call and returns the service's answer.
@@ -84,8 +92,7 @@
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
         let policy = self.policy()?;
-        let path = self.path.split('?').next().unwrap_or_default();
-        if route::is_non_idempotent(policy, self.method.as_str(), path) {
+        if route::is_non_idempotent(policy, self.method.as_str(), self.path.path()) {
             let key = self.key()?.to_owned();
             return once::run(self, &key).await.map(Answer::into_response);
         }
@@ -150,13 +157,18 @@
 
     /// Returns the hash of what the call asks for.
     pub fn body_hash(&self) -> idempotency::BodyHash {
-        idempotency::BodyHash::new(&self.service, self.method.as_str(), &self.path, &self.body)
+        idempotency::BodyHash::new(
+            &self.service,
+            self.method.as_str(),
+            self.path.as_str(),
+            &self.body,
+        )
     }
 
     fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
-        *req.uri_mut() = self.path.parse().unwrap_or_default();
+        *req.uri_mut() = self.path.clone().into();
         *req.headers_mut() = self.headers.clone();
         let workspace = header::HeaderValue::from_str(self.caller.workspace.as_str())
             .expect("a workspace name has only visible ASCII");
--- a/damaskdrift/src/operator/listener.rs
+++ b/damaskdrift/src/operator/listener.rs
@@ -12,7 +12,7 @@
 use warp::http::{HeaderMap, Method, Response, header};
 
 use crate::context;
-use crate::control::freshness;
+use crate::control::lifecycle;
 use crate::operator::Refusal;
 use crate::operator::api;
 
@@ -76,7 +76,7 @@
     }
 
     fn ready(&self) -> Response<String> {
-        match freshness::check(&self.cx) {
+        match lifecycle::readiness(&self.cx) {
             Ok(()) => text(200, "text/plain", "ready\n".to_owned()),
             Err(code) => text(503, "text/plain", format!("[{}] {}\n", code.number(), code.name())),
         }
--- a/damaskdrift/src/operator/status.rs
+++ b/damaskdrift/src/operator/status.rs
@@ -5,7 +5,7 @@
 use damaskdrift_core::id;
 
 use crate::context;
-use crate::control::{driver, freshness, observe, sync as config};
+use crate::control::{driver, freshness, lifecycle, observe, sync as config};
 use crate::operator::moves;
 use crate::peer;
 use crate::peer::message;
@@ -14,7 +14,7 @@
 pub fn value(cx: &context::Context) -> serde_json::Value {
     let snapshot = cx.fleet.load();
     let document = &snapshot.document;
-    let ready = freshness::check(cx);
+    let ready = lifecycle::readiness(cx);
     serde_json::json!({
         "instance": cx.settings.instance.id,
         "failure_domain": cx.settings.instance.failure_domain,
