Test that a planned stop waits for slow readers

Cause: no test failed when the instance did not wait for its connections at a stop. Change: a caller with a small receive buffer reads a 7.5 MB answer after the order to stop.

--- a/damaskdrift_lab/tests/drain.rs
+++ b/damaskdrift_lab/tests/drain.rs
@@ -9,6 +9,8 @@
 use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpSocket;
 
 /// Longest time for the instance to end.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -110,6 +112,28 @@
     assert_eq!(fleet.services[0].runs().await.expect("the service answers")["k1"], 1);
 }
 
+// Guards against an answer that is cut off because its caller still reads when all work is done.
+#[tokio::test]
+async fn a_stop_waits_for_slow_readers() {
+    let fleet = builder().with_service_args(&["--delay-ms", "0", "--answer-bytes", "7500000"]);
+    let mut fleet = fleet.start().await.expect("the fleet starts");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(8_192).expect("the size is set");
+    let mut caller = socket.connect(fleet.instances[0].listen.callers).await.expect("accepted");
+    let head =
+        format!("GET /v1/services/lodging/x HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n\r\n");
+    caller.write_all(head.as_bytes()).await.expect("the request is sent");
+    let mut first = [0; 4_096];
+    caller.read_exact(&mut first).await.expect("the answer begins");
+    fleet.instances[0].process.terminate().expect("the signal is sent");
+    tokio::time::sleep(ACCEPT + Duration::from_millis(1_000)).await;
+    let mut rest = Vec::new();
+    caller.read_to_end(&mut rest).await.expect("the answer ends");
+    let len = first.len() + rest.len();
+    assert!(len > 7_500_000, "{len} bytes");
+    assert_eq!(fleet.instances[0].process.wait(LIMIT).await.expect("the instance ends"), 0);
+}
+
 // Guards against a stop without end when the operators set a deadline.
 #[tokio::test]
 async fn a_deadline_ends_the_drain() {
