--- a/damaskdrift/src/caller/once.rs
+++ b/damaskdrift/src/caller/once.rs
@@ -185,7 +185,7 @@
             Err(refusal) => return Err((claimed, refusal)),
         };
         let workspace = &self.call.caller.workspace;
-        let mut attempts = Attempts::new(&self.cx, workspace, false, targets);
+        let mut attempts = Attempts::new(&self.cx, workspace, targets).with_single_run();
         loop {
             let Placed { target, slot } = match attempts.place().await {
                 Ok(placed) => placed,
@@ -259,6 +259,7 @@
             }
             Err(failure) if !failure.sent => Err((sent.unsent(), failure)),
             Err(failure) => {
+                self.cx.upstreams.note_failure(target);
                 slots::lost(&self.cx, &target.id);
                 self.call.observe_failure(target);
                 log::warn!("[{}] {request}: {failure}", failure.code.number());
--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -13,7 +13,7 @@
 use damaskdrift_core::time::{Millis, UnixMillis};
 use tokio::sync::watch;
 
-use crate::control::{driver, heartbeat, lifecycle, observe, slots, sync as config, tasks};
+use crate::control::{cache, driver, heartbeat, lifecycle, observe, slots, sync as config, tasks};
 use crate::peer;
 use crate::platform::{instance_list, key_value};
 use crate::settings;
@@ -47,6 +47,8 @@
     pub slots: slots::Slots,
     /// Connections to upstreams.
     pub upstreams: upstream::Pool,
+    /// What is known of kept KV cache.
+    pub cache: cache::Cache,
     /// How far the life of the instance has come.
     pub lifecycle: lifecycle::Signal,
     /// Streams and recordings that a stopping instance finishes first.
@@ -73,6 +75,7 @@
             drive: driver::Drive::default(),
             slots: slots::Slots::new(settings.limits.fleet_max),
             upstreams: upstream::Pool::new(&settings.limits),
+            cache: cache::Cache::default(),
             lifecycle: lifecycle::Signal::default(),
             tasks: tasks::Tasks::default(),
             settings,
--- a/damaskdrift/src/operator/status.rs
+++ b/damaskdrift/src/operator/status.rs
@@ -5,7 +5,7 @@
 use damaskdrift_core::id;
 
 use crate::context;
-use crate::control::{driver, freshness, observe};
+use crate::control::{driver, freshness, observe, sync as config};
 use crate::operator::moves;
 use crate::peer;
 use crate::peer::message;
@@ -23,7 +23,11 @@
         "uptime_ms": cx.now(),
         "ready": ready.is_ok(),
         "not_ready_because": ready.err().map(|code| code.name()),
+        "freshness": freshness::decide(cx).to_string(),
         "revision": snapshot.revision,
+        "known_revision": cx.sync.state().known(),
+        "watches_service": config::is_watcher(cx),
+        "members": members(cx),
         "change": document.change,
         "failure_domains": document.failure_domains,
         "driver": driver::last_known(cx),
@@ -32,6 +36,19 @@
     })
 }
 
+/// Returns the other instances as this one sees them.
+fn members(cx: &context::Context) -> Vec<serde_json::Value> {
+    let membership = cx.membership();
+    let members = membership.members(cx.now()).map(|(instance, domain, liveness)| {
+        serde_json::json!({
+            "instance": instance,
+            "failure_domain": domain,
+            "liveness": liveness.to_string(),
+        })
+    });
+    members.collect()
+}
+
 /// Answers a peer's request for the status.
 pub fn handle_status(
     cx: sync::Arc<context::Context>,
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -125,6 +125,8 @@
     tokio::spawn(control::heartbeat::run(cx.clone()));
     tokio::spawn(control::sync::run(cx.clone()));
     control::slots::start(cx);
+    tokio::spawn(control::cache::run_polls(cx.clone()));
+    tokio::spawn(control::cache::run_exports(cx.clone()));
     cx.peers.register(peer::Topic::Evidence, control::observe::handle_evidence);
     cx.peers.register(peer::Topic::Status, operator::status::handle_status);
     tokio::spawn(control::observe::run(cx.clone()));
