--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod domain_move;
 mod measure;
 mod overhead;
+mod slopes;
 mod version_moves;
 
 use std::process;
@@ -21,6 +22,7 @@
     match name.as_str() {
         "domain-move" => domain_move::run(args).await,
         "overhead" => overhead::run(args).await,
+        "slopes" => slopes::run(args),
         "version-moves" => version_moves::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
