--- a/damaskdrift/src/control/heartbeat.rs
+++ b/damaskdrift/src/control/heartbeat.rs
@@ -9,7 +9,6 @@
 use damaskdrift_core::id;
 use damaskdrift_core::membership;
 use damaskdrift_core::time::Millis;
-use rand::seq::index;
 use tokio::time;
 
 use crate::context;
@@ -147,10 +146,8 @@
     if is_full_mesh {
         return Vec::new();
     }
-    let evidence = cx.sync.state().evidence(now, cx.freshness_limit());
-    let len = evidence.len();
-    let chosen = index::sample(&mut rand::rng(), len, len.min(MAX_MEMBERS));
-    chosen.into_iter().map(|i| evidence[i].clone()).collect()
+    let limit = cx.freshness_limit();
+    cx.sync.state().evidence_sample(now, limit, MAX_MEMBERS, &mut rand::rng())
 }
 
 fn resume_after_pause(cx: &context::Context, gap: Millis) {
--- a/damaskdrift_core/src/config_sync/state.rs
+++ b/damaskdrift_core/src/config_sync/state.rs
@@ -2,6 +2,9 @@
 
 use std::collections;
 
+use rand::Rng;
+use rand::seq::index;
+
 use crate::config_sync::{Freshness, StopReason};
 use crate::id;
 use crate::time::Millis;
@@ -137,6 +140,20 @@
         ages.filter(|(_, age)| *age <= limit).collect()
     }
 
+    /// Returns a random part of the evidence, so that the size of a pong does not grow with the
+    /// fleet.
+    pub fn evidence_sample<R: Rng + ?Sized>(
+        &self,
+        now: Millis,
+        limit: Millis,
+        max: usize,
+        rng: &mut R,
+    ) -> Vec<(id::Instance, Millis)> {
+        let evidence = self.evidence(now, limit);
+        let chosen = index::sample(rng, evidence.len(), evidence.len().min(max));
+        chosen.into_iter().map(|i| evidence[i].clone()).collect()
+    }
+
     /// Drops all confirmations, as after a pause of the process; the revision stays installed.
     pub fn forget_confirmations(&mut self) {
         self.confirmed_at = None;
--- a/damaskdrift_core/tests/config_sync.rs
+++ b/damaskdrift_core/tests/config_sync.rs
@@ -4,6 +4,7 @@
 
 use damaskdrift_core::config_sync::{self, Freshness, Offer, Reading, StopReason};
 use damaskdrift_core::id;
+use damaskdrift_core::membership;
 use damaskdrift_core::time::Millis;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -170,6 +171,40 @@
     assert_eq!(all.intersection(&after_loss).count(), 3, "a loss moves one watch only");
 }
 
+// Guards against a large fleet, whose instances ping only a few peers each tick, taking an outage
+// of the service for their own isolation.
+#[rstest]
+#[case::pongs_name_members(8, true)]
+#[case::direct_pongs_only(0, false)]
+fn indirect_evidence_covers_a_large_fleet(#[case] named: usize, #[case] expected: bool) {
+    const INSTANCES: usize = 330;
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let roster = roster(INSTANCES);
+    let names: Vec<_> = (0..INSTANCES).map(instance).collect();
+    let mut states = vec![config_sync::State::new(); INSTANCES];
+    for state in &mut states {
+        state.offer(id::Revision(1));
+    }
+    for tick in 0..20_u64 {
+        let sent = Millis(10_000 + tick * 250);
+        for i in 0..INSTANCES {
+            let mut peers = names.clone();
+            peers.swap_remove(i);
+            for peer in membership::targets(&peers, &mut rng) {
+                let index = names.iter().position(|name| *name == peer).expect("a member");
+                let members = states[index].evidence_sample(sent, LIMIT, named, &mut rng);
+                let report = config_sync::PeerReport { members, ..report(1, None) };
+                states[i].confirm_from_peer(&peer, &report, sent);
+            }
+            if tick < 8 {
+                continue;
+            }
+            let decision = states[i].freshness(&names[i], Some(&roster), sent, LIMIT);
+            assert_eq!(decision.allows_new_work(), expected, "{} at {sent}: {decision}", names[i]);
+        }
+    }
+}
+
 /// A message under way; the simulation delivers it at its time, if the link is up then.
 enum Message {
     Ping { from: usize, to: usize, sent: u64 },
