--- a/damaskdrift/src/control/slots/ask.rs
+++ b/damaskdrift/src/control/slots/ask.rs
@@ -121,7 +121,7 @@
             install(&cx, &granted.entries, asked);
         }
         Some(_) => cx.slots.owners.set(group, None),
-        None => metrics::counter!("slots_without_owner").increment(1),
+        None => metrics::counter!("damaskdrift_demands_without_owner_total").increment(1),
     }
     cx.slots.owners.end(group);
 }
--- a/damaskdrift/src/control/slots/mod.rs
+++ b/damaskdrift/src/control/slots/mod.rs
@@ -126,7 +126,8 @@
     let mut waiting = future_set(cx, &upstreams[..upstreams.len().min(WAIT_WIDTH)]);
     let waited = time::timeout(wait, waiting.next()).await;
     let granted = waited.ok().flatten();
-    metrics::counter!("slots_waited", "granted" => granted.is_some().to_string()).increment(1);
+    metrics::counter!("damaskdrift_slot_waits_total", "granted" => granted.is_some().to_string())
+        .increment(1);
     granted.ok_or(code::Code::Overloaded)
 }
 
