--- a/damaskdrift_lab/tests/harness.rs
+++ b/damaskdrift_lab/tests/harness.rs
@@ -1,9 +1,10 @@
 //! Tests of the process harness itself.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
 
-use damaskdrift_lab::harness::{Call, Client, Standin};
+use damaskdrift_lab::harness::{Call, Client, Standin, address};
 use rstest::rstest;
 use tempfile::TempDir;
 
@@ -88,3 +89,25 @@
     assert_eq!(code, -15);
     assert!(standin.process.freeze().is_err());
 }
+
+/// Guards against two processes at one address, of which the second cannot listen.
+#[test]
+fn addresses_differ() {
+    let count = 600;
+    let addresses: BTreeSet<_> = (0..count).map(|_| address::own_ip()).collect();
+    assert_eq!(addresses.len(), count);
+    assert!(addresses.iter().all(|ip| ip.is_loopback() && !matches!(ip.octets()[3], 0 | 255)));
+}
+
+/// Guards against a port that the system gives to another process before its owner listens.
+#[test]
+fn free_ports_are_not_chosen_by_the_system() {
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range");
+    let range = range.expect("Linux has this file");
+    let mut bounds = range.split_whitespace().map(|bound| bound.parse::<u16>());
+    let least = bounds.next().expect("the file has two numbers").expect("they are ports");
+    for _ in 0..100 {
+        let address = address::free_port(address::own_ip()).expect("a port is free");
+        assert!(address.port() < least, "{address} is in the system's range from {least}");
+    }
+}
