Add the experiment returning-prompts and measure links by exports

Cause: placement had no measurement against its baselines. The first run showed that it exported nothing: the first guess of a link's rate was 100 MB/s, below which no import pays, so the link was never measured. Change: a seeded load and a model of queue, cache and link per engine drive the core's placement beside least-loaded routing, import everything and an oracle. The first guess is 10 GB/s, exports measure the link too, and residency keeps its order of use in a queue.

--- a/damaskdrift/src/control/cache/transfer.rs
+++ b/damaskdrift/src/control/cache/transfer.rs
@@ -49,7 +49,7 @@
     };
     let wanted = &prompt.chain[first..first + blocks];
     let mut import = placement::Import::new(blocks, expected, recompute, cx.now());
-    let planned = start(cx, prompt, to, blocks);
+    let (planned, ahead) = start(cx, prompt, to, blocks);
     let started = cx.now();
     let mut done = 0;
     let mut carried = 0;
@@ -89,7 +89,7 @@
             metrics::counter!("damaskdrift_imports_given_up_total", "reason" => reason.to_string())
                 .increment(1);
         }
-        None => link.finish(planned, carried, 0, now.since(started)),
+        None => link.finish(planned, carried, ahead, now.since(started)),
     }
     metrics::counter!("damaskdrift_import_bytes_total").increment(carried);
 }
@@ -116,9 +116,13 @@
     if blocks.is_empty() {
         return;
     }
+    let started = cx.now();
+    let ahead = cx.cache.lock().estimates.link(&engine.id).queued_bytes();
     match order(cx, &engine, "/v1/cache/export", blocks, &store, EXPORT_TIMEOUT).await {
         Ok(done) => {
+            let elapsed = cx.now().since(started);
             let mut state = cx.cache.lock();
+            state.estimates.link(&engine.id).finish(0, done.bytes, ahead, elapsed);
             state.kept(&store.id).note(&done.blocks, MAX_KEPT);
             metrics::counter!("damaskdrift_export_bytes_total").increment(done.bytes);
             // A block that was already kept adds no bytes, so only a full export shows its size.
@@ -142,11 +146,19 @@
     }
 }
 
-fn start(cx: &context::Context, prompt: &Prompt, to: &upstream::Target, blocks: usize) -> u64 {
+/// Notes the start of an import and returns its bytes and those queued ahead of it.
+fn start(
+    cx: &context::Context,
+    prompt: &Prompt,
+    to: &upstream::Target,
+    blocks: usize,
+) -> (u64, u64) {
     let mut state = cx.cache.lock();
     let planned = blocks as u64 * state.block_bytes(&prompt.model);
-    state.estimates.link(&to.id).start(planned);
-    planned
+    let link = state.estimates.link(&to.id);
+    let ahead = link.queued_bytes();
+    link.start(planned);
+    (planned, ahead)
 }
 
 async fn order(
--- a/damaskdrift_core/src/placement/estimate.rs
+++ b/damaskdrift_core/src/placement/estimate.rs
@@ -10,7 +10,10 @@
 /// Prefill rate assumed of an upstream that has not reported yet, in tokens a second.
 const DEFAULT_PREFILL_RATE: f64 = 5_000.0;
 /// Link rate assumed before the first transfer, in bytes a second.
-const DEFAULT_LINK_RATE: f64 = 100e6;
+///
+/// The guess is high, because a low one is never corrected: nothing would be exported, and nothing
+/// could be imported and measured. One that is too high costs an import that is given up.
+const DEFAULT_LINK_RATE: f64 = 10e9;
 /// Weight of a new prompt in the average number of computed tokens.
 const TOKENS_WEIGHT: f64 = 0.1;
 /// Time for which own requests are remembered after their first token; no report is older.
--- a/damaskdrift_core/src/placement/residency.rs
+++ b/damaskdrift_core/src/placement/residency.rs
@@ -8,6 +8,9 @@
 /// Most blocks remembered of one upstream; each takes some tens of bytes.
 const MAX_BLOCKS: usize = 1 << 16;
 
+/// Outdated uses that are always tolerated, so that a small cache is not tidied all the time.
+const MIN_USES: usize = 1_024;
+
 /// What a cache event says of a block.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -30,7 +33,8 @@
 struct Held {
     boot: Option<id::Boot>,
     used: collections::HashMap<u64, u64>,
-    by_use: collections::BTreeMap<u64, u64>,
+    /// Uses in order of time; one that is not the latest of its block is skipped.
+    uses: collections::VecDeque<(u64, u64)>,
     clock: u64,
 }
 
@@ -84,25 +88,26 @@
 impl Held {
     fn touch(&mut self, key: u64) {
         self.clock += 1;
-        if let Some(last) = self.used.insert(key, self.clock) {
-            self.by_use.remove(&last);
-        }
-        self.by_use.insert(self.clock, key);
+        self.used.insert(key, self.clock);
+        self.uses.push_back((self.clock, key));
         self.shrink(MAX_BLOCKS);
+        if self.uses.len() > 2 * self.used.len() + MIN_USES {
+            self.uses.retain(|(clock, key)| self.used.get(key) == Some(clock));
+        }
     }
 
     fn remove(&mut self, key: u64) {
-        if let Some(last) = self.used.remove(&key) {
-            self.by_use.remove(&last);
-        }
+        self.used.remove(&key);
     }
 
     fn shrink(&mut self, blocks: usize) {
         while self.used.len() > blocks {
-            let Some((_, key)) = self.by_use.pop_first() else {
+            let Some((clock, key)) = self.uses.pop_front() else {
                 return;
             };
-            self.used.remove(&key);
+            if self.used.get(&key) == Some(&clock) {
+                self.used.remove(&key);
+            }
         }
     }
 }
--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Experiments that measure a policy against its baseline.
 
+pub mod returning_prompts;
+
 use std::process;
 
 use lexopt::ValueExt as _;
@@ -13,5 +15,8 @@
 /// Returns why the experiment could not run.
 pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
     let name = args.value()?.string()?;
-    Err(Error::Usage(format!("unknown experiment {name:?}")))
+    match name.as_str() {
+        "returning-prompts" => returning_prompts::run(args),
+        other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
+    }
 }
--- a/damaskdrift_lab/src/standin/engine/cache.rs
+++ b/damaskdrift_lab/src/standin/engine/cache.rs
@@ -10,6 +10,8 @@
 
 /// Most events kept for readers.
 const EVENT_LIMIT: usize = 20_000;
+/// Outdated uses that are always tolerated, so that a small cache is not tidied all the time.
+const MIN_USES: usize = 1_024;
 
 /// Blocks that an engine holds in accelerator memory.
 pub struct Cache {
@@ -17,7 +19,8 @@
     delay: Duration,
     gap_rate: f64,
     used: collections::HashMap<block::Key, u64>,
-    by_use: collections::BTreeMap<u64, block::Key>,
+    /// Uses in order of time; one that is not the latest of its block is skipped.
+    uses: collections::VecDeque<(u64, block::Key)>,
     clock: u64,
     seq: u64,
     events: collections::VecDeque<Recorded>,
@@ -58,7 +61,7 @@
             delay,
             gap_rate,
             used: collections::HashMap::new(),
-            by_use: collections::BTreeMap::new(),
+            uses: collections::VecDeque::new(),
             clock: 0,
             seq: 0,
             events: collections::VecDeque::new(),
@@ -81,9 +84,14 @@
         self.used.contains_key(key)
     }
 
+    /// Returns the length of the held prefix of a chain, in blocks.
+    pub fn prefix(&self, chain: &[block::Key]) -> usize {
+        chain.iter().take_while(|key| self.used.contains_key(key)).count()
+    }
+
     /// Marks the held prefix of a chain as used and returns its length in blocks.
     pub fn touch_prefix(&mut self, chain: &[block::Key]) -> usize {
-        let held = chain.iter().take_while(|key| self.used.contains_key(key)).count();
+        let held = self.prefix(chain);
         for key in &chain[..held] {
             self.touch(*key);
         }
@@ -114,27 +122,29 @@
 
     /// Returns the events after a position that are old enough to be visible, and the next position.
     pub fn events(&self, after: u64, now: Instant) -> (Vec<Event>, u64) {
-        let visible = self.events.iter().take_while(|recorded| recorded.visible_at <= now);
-        let events: Vec<Event> = visible
-            .filter(|recorded| recorded.event.seq > after)
-            .map(|recorded| recorded.event.clone())
-            .collect();
+        let start = self.events.partition_point(|recorded| recorded.event.seq <= after);
+        let visible = self.events.range(start..).take_while(|r| r.visible_at <= now);
+        let events: Vec<Event> = visible.map(|recorded| recorded.event.clone()).collect();
         let next = events.last().map_or(after, |event| event.seq);
         (events, next)
     }
 
     fn touch(&mut self, key: block::Key) {
         self.clock += 1;
-        if let Some(last) = self.used.insert(key, self.clock) {
-            self.by_use.remove(&last);
+        self.used.insert(key, self.clock);
+        self.uses.push_back((self.clock, key));
+        if self.uses.len() > 2 * self.used.len() + MIN_USES {
+            self.uses.retain(|(clock, key)| self.used.get(key) == Some(clock));
         }
-        self.by_use.insert(self.clock, key);
     }
 
     fn evict_one(&mut self, now: Instant) {
-        if let Some((_, key)) = self.by_use.pop_first() {
-            self.used.remove(&key);
-            self.record(key, Kind::Evicted, now);
+        while let Some((clock, key)) = self.uses.pop_front() {
+            if self.used.get(&key) == Some(&clock) {
+                self.used.remove(&key);
+                self.record(key, Kind::Evicted, now);
+                return;
+            }
         }
     }
 
