--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -12,16 +12,17 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
+use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
 
-use crate::caller::attempts::{Attempts, Placed};
+use crate::caller::attempts::{self, Attempts, Placed};
 use crate::caller::prompt::Prompt;
 use crate::caller::refusal::Refusal;
 use crate::caller::relay;
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, request_id, resume};
 use crate::context;
-use crate::control::{cache, freshness, observe, roster, slots};
+use crate::control::{cache, freshness, observe, roster, route, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, 0 highest to 3.
@@ -49,7 +50,7 @@
     prompt: Prompt,
     path: &'static str,
     priority: u8,
-    version: id::Version,
+    route: fleet::Route,
     cached: cache::Prompt,
     started: Instant,
 }
@@ -68,11 +69,9 @@
         prompt: Prompt,
     ) -> Result<Self, Refusal> {
         let priority = parse_priority(headers)?;
-        let version = route(&caller, &prompt)?.version.clone();
-        let secret = &caller.fleet.document.secret;
-        let (workspace, model) = (&caller.workspace, &prompt.model);
-        let cached = cache::Prompt::new(secret, workspace, model, &version, &prompt.text);
-        Ok(Self { cx, caller, prompt, path, priority, version, cached, started: Instant::now() })
+        let route = route(&cx, &caller, &prompt)?;
+        let cached = cached(&caller, &prompt, &route);
+        Ok(Self { cx, caller, prompt, path, priority, route, cached, started: Instant::now() })
     }
 
     /// Sends the prompt to an engine and returns its answer.
@@ -81,13 +80,23 @@
     ///
     /// Returns a refusal when no engine answers.
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
+        let cx = self.cx.clone();
+        attempts::detach(&cx, |gone| async move { self.answer(gone).await }).await
+    }
+
+    async fn answer(mut self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
-        let mut targets = self.targets()?;
-        let fleet = &self.caller.fleet;
-        let plan = cache::place(&self.cx, fleet, &self.cached, &mut targets).await;
-        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, targets);
+        let (mut attempts, mut plan) = self.prepare(&gone).await?;
         loop {
             let placed = attempts.place().await?;
+            // A move may have been vetoed while the prompt waited for a slot.
+            let route = route(&self.cx, &self.caller, &self.prompt)?;
+            if route != self.route {
+                self.cached = cached(&self.caller, &self.prompt, &route);
+                self.route = route;
+                (attempts, plan) = self.prepare(&gone).await?;
+                continue;
+            }
             if let Some(plan) = &plan {
                 cache::import(&self.cx, &self.cached, plan, &placed.target).await;
             }
@@ -131,6 +140,7 @@
         let response = match conn.send(self.request(&stream.request), wait).await {
             Ok(response) => response,
             Err(failure) => {
+                self.cx.upstreams.note_failure(&stream.target);
                 slots::lost(&self.cx, &stream.target.id);
                 let response;
                 (conn, response) = self.recover(stream, &conn, failure).await?;
@@ -230,9 +240,20 @@
             .expect("ids and numbers are valid header values")
     }
 
+    /// Ranks the engines of the route and plans what to import before the prompt is sent.
+    async fn prepare(
+        &self,
+        gone: &CancellationToken,
+    ) -> Result<(Attempts, Option<cache::Placed>), Refusal> {
+        let mut targets = self.targets()?;
+        let fleet = &self.caller.fleet;
+        let plan = cache::place(&self.cx, fleet, &self.cached, &mut targets).await;
+        let attempts = Attempts::new(&self.cx, &self.caller.workspace, targets);
+        Ok((attempts.with_caller_gone(gone.clone()), plan))
+    }
+
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
-        let route = route(&self.caller, &self.prompt)?;
-        let engines = self.caller.fleet.engines(&self.prompt.model, route);
+        let engines = self.caller.fleet.engines(&self.prompt.model, &self.route);
         let engines = engines.filter(|(id, _)| !roster::is_leaving(&self.cx, id));
         let mut targets: Vec<_> =
             engines.filter_map(|(id, engine)| upstream::Target::new(id, engine)).collect();
@@ -247,7 +268,7 @@
     ) -> observe::Observation {
         observe::Observation {
             workspace: self.caller.workspace.clone(),
-            version: Some((self.prompt.model.clone(), self.version.clone())),
+            version: Some((self.prompt.model.clone(), self.route.version.clone())),
             upstream: Some(target.id.clone()),
             succeeded: false,
             first_token: None,
@@ -257,13 +278,21 @@
     }
 }
 
-fn route<'a>(caller: &'a Caller, prompt: &Prompt) -> Result<&'a fleet::Route, Refusal> {
-    caller.policy()?.models.get(&prompt.model).ok_or_else(|| {
+fn route(cx: &context::Context, caller: &Caller, prompt: &Prompt) -> Result<fleet::Route, Refusal> {
+    let hash = blake3::hash(&prompt.root);
+    let (first, _) = hash.as_bytes().split_first_chunk().expect("a hash is longer than 8 bytes");
+    let root_hash = u64::from_le_bytes(*first);
+    route::choose(cx, &caller.fleet, &caller.workspace, &prompt.model, root_hash).ok_or_else(|| {
         let message = format!("the workspace may not use model {:?}", prompt.model.as_str());
         Refusal::new(code::Code::UnknownModel, &message)
     })
 }
 
+fn cached(caller: &Caller, prompt: &Prompt, route: &fleet::Route) -> cache::Prompt {
+    let secret = &caller.fleet.document.secret;
+    cache::Prompt::new(secret, &caller.workspace, &prompt.model, &route.version, &prompt.text)
+}
+
 fn parse_priority(headers: &HeaderMap) -> Result<u8, Refusal> {
     match request::single(headers, &PRIORITY)? {
         None => Ok(DEFAULT_PRIORITY),
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -11,10 +11,12 @@
 use http_body_util::Full;
 use hyper::header;
 use hyper::header::HeaderName;
+use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, StatusCode};
+use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
 
-use crate::caller::attempts::{Attempts, Placed};
+use crate::caller::attempts::{self, Attempts, Placed};
 use crate::caller::refusal::Refusal;
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, once, request_id, route};
@@ -42,7 +44,7 @@
     service: id::Service,
     method: Method,
     /// Path and query below the service.
-    path: String,
+    path: PathAndQuery,
     headers: HeaderMap,
     body: Bytes,
     started: Instant,
@@ -61,18 +63,25 @@
 
 impl Call {
     /// Prepares a call of an authenticated caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the path cannot be passed on.
     pub fn new(
         cx: sync::Arc<context::Context>,
         caller: Caller,
         service: &str,
         method: Method,
-        path: String,
+        path: &str,
         headers: &HeaderMap,
         body: Bytes,
-    ) -> Self {
+    ) -> Result<Self, Refusal> {
         let headers = passed_on(headers);
         let service = id::Service::new(service);
-        Self { cx, caller, service, method, path, headers, body, started: Instant::now() }
+        let path = path.parse().map_err(|error| {
+            Refusal::new(code::Code::UnknownRoute, &format!("the path is not valid: {error}"))
+        })?;
+        Ok(Self { cx, caller, service, method, path, headers, body, started: Instant::now() })
     }
 
     /// Runs the call and returns the service's answer.
@@ -83,12 +92,18 @@
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
         let policy = self.policy()?;
-        let path = self.path.split('?').next().unwrap_or_default();
-        if route::is_non_idempotent(policy, self.method.as_str(), path) {
+        if route::is_non_idempotent(policy, self.method.as_str(), self.path.path()) {
             let key = self.key()?.to_owned();
             return once::run(self, &key).await.map(Answer::into_response);
         }
-        let mut attempts = Attempts::new(&self.cx, &self.caller.workspace, true, self.targets()?);
+        let cx = self.cx.clone();
+        attempts::detach(&cx, |gone| async move { self.repeat(gone).await }).await
+    }
+
+    async fn repeat(&self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
+        let workspace = &self.caller.workspace;
+        let mut attempts =
+            Attempts::new(&self.cx, workspace, self.targets()?).with_caller_gone(gone);
         loop {
             let Placed { target, slot } = attempts.place().await?;
             let refusal = match self.attempt(&target, &slot).await {
@@ -113,6 +128,7 @@
         freshness::check_upstream(&self.cx, &target.id)?;
         let answer = self.exchange(&mut conn, &self.request_id(target)).await;
         let answer = answer.inspect_err(|_| {
+            self.cx.upstreams.note_failure(target);
             slots::lost(&self.cx, &target.id);
             self.observe_failure(target);
         })?;
@@ -141,13 +157,18 @@
 
     /// Returns the hash of what the call asks for.
     pub fn body_hash(&self) -> idempotency::BodyHash {
-        idempotency::BodyHash::new(&self.service, self.method.as_str(), &self.path, &self.body)
+        idempotency::BodyHash::new(
+            &self.service,
+            self.method.as_str(),
+            self.path.as_str(),
+            &self.body,
+        )
     }
 
     fn request(&self, request: &id::Request) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
-        *req.uri_mut() = self.path.parse().unwrap_or_default();
+        *req.uri_mut() = self.path.clone().into();
         *req.headers_mut() = self.headers.clone();
         let workspace = header::HeaderValue::from_str(self.caller.workspace.as_str())
             .expect("a workspace name has only visible ASCII");
--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -1,6 +1,10 @@
 //! Experiments that measure a policy against its baseline.
 
-pub mod returning_prompts;
+mod domain_move;
+mod measure;
+mod overhead;
+mod returning_prompts;
+mod version_moves;
 
 use std::process;
 
@@ -16,6 +20,9 @@
 pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
     let name = args.value()?.string()?;
     match name.as_str() {
+        "domain-move" => domain_move::run(args).await,
+        "overhead" => overhead::run(args).await,
+        "version-moves" => version_moves::run(args),
         "returning-prompts" => returning_prompts::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
