--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod domain_move;
 mod measure;
 mod overhead;
+mod returning_prompts;
 mod slopes;
 mod version_moves;
 
@@ -24,6 +25,7 @@
         "overhead" => overhead::run(args).await,
         "slopes" => slopes::run(args),
         "version-moves" => version_moves::run(args),
+        "returning-prompts" => returning_prompts::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
 }
