--- a/damaskdrift_lab/src/experiment/domain_move.rs
+++ b/damaskdrift_lab/src/experiment/domain_move.rs
@@ -112,7 +112,7 @@
         println!("{measure}");
     }
     println!("requests sent: {} with the policy, {} in the baseline", value.sent, baseline.sent);
-    let is_met = measures.iter().all(|measure| measure.value <= measure.target);
+    let is_met = measures.iter().all(Measure::is_met);
     Ok(if is_met { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE })
 }
 
--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -1,6 +1,10 @@
 //! Experiments that measure a policy against its baseline.
 
+mod config_spread;
+mod control_cost;
 mod domain_move;
+mod fit;
+mod idle_fleet;
 mod measure;
 mod overhead;
 mod returning_prompts;
@@ -21,6 +25,8 @@
 pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
     let name = args.value()?.string()?;
     match name.as_str() {
+        "config-spread" => config_spread::run(args).await,
+        "control-cost" => control_cost::run(args).await,
         "domain-move" => domain_move::run(args).await,
         "overhead" => overhead::run(args).await,
         "slopes" => slopes::run(args),
