Hold growth while a route seems slow and end moves before the deadline

Growth needs latencies of every main route and holds while they seem slow with too few samples to be sure; a late move counts fewer failures as bad; 5 s before the deadline are kept for the last write.

--- a/damaskdrift/src/control/observe.rs
+++ b/damaskdrift/src/control/observe.rs
@@ -307,7 +307,7 @@
         }
         // Growth is the driver's decision, so only a bad verdict counts here.
         for judge in [&watched.own, &watched.total] {
-            if let rollout::Verdict::Bad { reason } = judge.verdict(now, f64::INFINITY) {
+            if let rollout::Verdict::Bad { reason } = judge.verdict(now, rollout::Bounds::VETO) {
                 vetoes.push(message::Veto { name: name.clone(), reason });
                 break;
             }
--- a/damaskdrift_core/src/rollout/decide.rs
+++ b/damaskdrift_core/src/rollout/decide.rs
@@ -52,7 +52,7 @@
         return Decision::RollBack { reason: reason.to_owned() };
     }
     let plan = plan::plan(m, unix, judge.rate(now));
-    let requests = match judge.verdict(now, plan.needed) {
+    let requests = match judge.verdict(now, plan.bounds) {
         Verdict::Bad { reason } => return Decision::RollBack { reason },
         missing @ Verdict::Missing { .. } => return Decision::Hold { reason: missing.to_string() },
         Verdict::Good { requests } => requests,
--- a/damaskdrift_core/src/rollout/plan.rs
+++ b/damaskdrift_core/src/rollout/plan.rs
@@ -3,10 +3,11 @@
 use derive_more::Display;
 
 use crate::fleet;
-use crate::rollout::STEPS;
-use crate::rollout::share;
+use crate::rollout::{Bounds, STEPS, share};
 use crate::time::{Millis, UnixMillis};
 
+/// Time kept before the deadline for writing the end of a move, or for a successor of the driver.
+const RESERVE: Millis = Millis::from_secs(5);
 /// Shortest time at a step, also when the deadline is near.
 const MIN_DWELL: Millis = Millis::from_secs(2);
 /// Longest time that a step lasts when evidence is at hand.
@@ -47,8 +48,8 @@
     pub outlook: Outlook,
     /// Shortest time at the present step.
     pub dwell: Millis,
-    /// Log likelihood ratio that growth from the present step needs.
-    pub needed: f64,
+    /// Evidence that the present step needs.
+    pub bounds: Bounds,
 }
 
 /// Returns the log likelihood ratio that growth from a step needs.
@@ -64,18 +65,20 @@
 
 /// Plans the steps of a move, given the requests a second on both routes.
 pub fn plan(m: &fleet::Move, now: UnixMillis, rate: f64) -> Plan {
-    let mut latest_starts = [m.deadline; STEPS.len()];
-    let mut latest = m.deadline.0;
+    let end = UnixMillis(m.deadline.0.saturating_sub(RESERVE.0));
+    let mut latest_starts = [end; STEPS.len()];
+    let mut latest = end.0;
     for step in (0..STEPS.len()).rev() {
         latest = latest.saturating_sub(shortest(step, rate).0);
         latest_starts[step] = UnixMillis(latest);
     }
-    let next = latest_starts.get(m.step + 1).copied().unwrap_or(m.deadline);
+    let next = latest_starts.get(m.step + 1).copied().unwrap_or(end);
     let is_late = now > next;
     let left = next.0.saturating_sub(m.step_started.0);
     let dwell = dwell(m).min(Millis(left)).max(MIN_DWELL);
-    let needed = needed(m.step) * if is_late { LATE_PART } else { 1.0 };
-    Plan { latest_starts, outlook: outlook(m, now, rate, is_late), dwell, needed }
+    let growth = needed(m.step) * if is_late { LATE_PART } else { 1.0 };
+    let bounds = Bounds::new(growth, is_late);
+    Plan { latest_starts, outlook: outlook(m, now, rate, is_late), dwell, bounds }
 }
 
 fn outlook(m: &fleet::Move, now: UnixMillis, rate: f64, is_late: bool) -> Outlook {
