--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -1,5 +1,9 @@
 //! Experiments that measure a policy against its baseline.
 
+mod domain_move;
+mod measure;
+mod overhead;
+mod slopes;
 mod version_moves;
 
 use std::process;
@@ -16,6 +20,9 @@
 pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
     let name = args.value()?.string()?;
     match name.as_str() {
+        "domain-move" => domain_move::run(args).await,
+        "overhead" => overhead::run(args).await,
+        "slopes" => slopes::run(args),
         "version-moves" => version_moves::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
