--- a/damaskdrift_core/src/rollout/judge.rs
+++ b/damaskdrift_core/src/rollout/judge.rs
@@ -37,6 +37,8 @@
 const SLOW_RATIO_EARLIER: f64 = 2.5;
 /// Latency samples of both versions that suffice for a comparison.
 const ENOUGH_LATENCIES: u32 = 20;
+/// Evidence for growth from which routes must show latencies; below, the next step is still small.
+const MIN_ROUTE_LATENCY_NEED: f64 = 1.0;
 /// Fewest latency samples that hold growth when they are slow.
 const MIN_SUSPICIOUS: u32 = 3;
 /// Fewest latency samples of either version; the fewer there are, the larger the ratio must be.
@@ -223,7 +225,7 @@
                 "{samples} latencies of upstreams that are not cold, of {requests} requests"
             ));
         }
-        if is_timed { self.doubtful_latency(now) } else { None }
+        if is_timed && needed >= MIN_ROUTE_LATENCY_NEED { self.doubtful_latency(now) } else { None }
     }
 
     /// Returns a route that has much of the old version's traffic and too little evidence.
--- a/damaskdrift_core/tests/rollout.rs
+++ b/damaskdrift_core/tests/rollout.rs
@@ -218,3 +218,29 @@
     cancelled.moves.get_mut(&name).unwrap().state = fleet::MoveState::Cancelled;
     assert!(matches!(record(&cancelled, 1, 7), Err(rollout::Stale::NotRunning(_))));
 }
+
+// Guards against growth while a route that few requests take is slow.
+#[test]
+fn share_holds_while_a_route_seems_slow() {
+    let on_south = |sample| rollout::Sample { route: "south".into(), ..sample };
+    let old = |i: u64| {
+        let sample = sample(Side::Old, true, 100);
+        if i.is_multiple_of(10) { on_south(sample) } else { sample }
+    };
+    let new = |i: u64| match i % 100 {
+        0 => on_south(sample(Side::New, true, 230)),
+        _ => sample(Side::New, true, 100),
+    };
+    let (judge, now) = judged(600, old, new);
+    let verdict = judge.verdict(now, bounds());
+    let is_held = matches!(&verdict, Verdict::Missing { reason } if reason.contains("seems slow"));
+    assert!(is_held, "{verdict:?}");
+}
+
+// Guards against a late move that is held at its share by some failures and never ends.
+#[test]
+fn late_move_needs_fewer_failures_to_end() {
+    let (judge, now) = judged(300, good(Side::Old), |i| sample(Side::New, i < 295, 100));
+    assert!(!matches!(judge.verdict(now, bounds()), Verdict::Bad { .. }));
+    assert!(matches!(judge.verdict(now, rollout::Bounds::new(2.3, true)), Verdict::Bad { .. }));
+}
