--- a/damaskdrift_core/tests/rollout.rs
+++ b/damaskdrift_core/tests/rollout.rs
@@ -44,6 +44,10 @@
     }
 }
 
+fn bounds() -> rollout::Bounds {
+    rollout::Bounds::new(2.3, false)
+}
+
 /// Feeds pairs of samples, ten a second, and returns the judge and the time.
 fn judged(
     pairs: u64,
@@ -119,7 +123,7 @@
     let (judge, now) = judged(pairs + 60, good(Side::Old), |i| {
         if i < 60 { sample(Side::Old, true, 100) } else { bad.clone() }
     });
-    let verdict = judge.verdict(now, 2.3);
+    let verdict = judge.verdict(now, bounds());
     assert!(matches!(&verdict, Verdict::Bad { reason } if reason.contains(why)), "{verdict:?}");
 }
 
@@ -128,7 +132,7 @@
 fn late_failures_are_not_outweighed_by_earlier_successes() {
     let new = |i| sample(Side::New, i < 2_000, 100);
     let (judge, now) = judged(2_010, good(Side::Old), new);
-    assert!(matches!(judge.verdict(now, 2.3), Verdict::Bad { .. }));
+    assert!(matches!(judge.verdict(now, bounds()), Verdict::Bad { .. }));
 }
 
 // Guards against a good version that is rolled back for a fault of both versions, for a cold
@@ -152,7 +156,7 @@
     #[case] new: fn(u64) -> rollout::Sample,
 ) {
     let (judge, now) = judged(1_000, old, new);
-    let verdict = judge.verdict(now, 2.3);
+    let verdict = judge.verdict(now, bounds());
     assert!(!matches!(verdict, Verdict::Bad { .. }), "{verdict}");
 }
 
@@ -214,3 +218,29 @@
     cancelled.moves.get_mut(&name).unwrap().state = fleet::MoveState::Cancelled;
     assert!(matches!(record(&cancelled, 1, 7), Err(rollout::Stale::NotRunning(_))));
 }
+
+// Guards against growth while a route that few requests take is slow.
+#[test]
+fn share_holds_while_a_route_seems_slow() {
+    let on_south = |sample| rollout::Sample { route: "south".into(), ..sample };
+    let old = |i: u64| {
+        let sample = sample(Side::Old, true, 100);
+        if i.is_multiple_of(10) { on_south(sample) } else { sample }
+    };
+    let new = |i: u64| match i % 100 {
+        0 => on_south(sample(Side::New, true, 230)),
+        _ => sample(Side::New, true, 100),
+    };
+    let (judge, now) = judged(600, old, new);
+    let verdict = judge.verdict(now, bounds());
+    let is_held = matches!(&verdict, Verdict::Missing { reason } if reason.contains("seems slow"));
+    assert!(is_held, "{verdict:?}");
+}
+
+// Guards against a late move that is held at its share by some failures and never ends.
+#[test]
+fn late_move_needs_fewer_failures_to_end() {
+    let (judge, now) = judged(300, good(Side::Old), |i| sample(Side::New, i < 295, 100));
+    assert!(!matches!(judge.verdict(now, bounds()), Verdict::Bad { .. }));
+    assert!(matches!(judge.verdict(now, rollout::Bounds::new(2.3, true)), Verdict::Bad { .. }));
+}
--- a/damaskdrift_lab/src/experiment/config_spread.rs
+++ b/damaskdrift_lab/src/experiment/config_spread.rs
@@ -7,9 +7,9 @@
 use tokio::time::{self, Instant};
 
 use crate::error::Error;
+use crate::experiment::fit::Fit;
 use crate::experiment::idle_fleet;
-use crate::experiment::measure::Measure;
-use crate::experiment::statistics;
+use crate::experiment::measure::{self, Measure};
 use crate::harness::Fleet;
 
 /// Changes of each kind and fleet size.
@@ -55,9 +55,9 @@
     let mut service = Vec::new();
     for instances in idle_fleet::SIZES {
         let times = measure_size(instances).await?;
-        let (operator_median, operator_max) = statistics::median_and_max(times.operator);
-        let (service_median, service_max) = statistics::median_and_max(times.service);
-        let (polling_median, polling_max) = statistics::median_and_max(times.polling);
+        let (operator_median, operator_max) = measure::median_and_max(times.operator);
+        let (service_median, service_max) = measure::median_and_max(times.service);
+        let (polling_median, polling_max) = measure::median_and_max(times.polling);
         operator.push((instances as f64, operator_median));
         service.push((instances as f64, service_median));
         for (writer, median, max) in [
@@ -65,16 +65,16 @@
             ("the service", service_median, service_max),
         ] {
             let name = |kind: &str| format!("{instances} instances, by {writer}, {kind}");
-            println!("{}", measure(name("median"), polling_median, median));
-            println!("{}", measure(name("max"), polling_max, max));
+            println!("{}", bound(name("median"), polling_median, median));
+            println!("{}", bound(name("max"), polling_max, max));
         }
     }
-    println!("slope through an instance: {:.2} ms per instance", statistics::slope(&operator));
-    println!("slope through the service: {:.2} ms per instance", statistics::slope(&service));
+    println!("slope through an instance: {:.2} ms per instance", Fit::new(&operator).slope);
+    println!("slope through the service: {:.2} ms per instance", Fit::new(&service).slope);
     Ok(process::ExitCode::SUCCESS)
 }
 
-fn measure(name: String, baseline: f64, value: f64) -> Measure {
+fn bound(name: String, baseline: f64, value: f64) -> Measure {
     Measure { name, baseline, value, target: TARGET_MS, unit: "ms" }
 }
 
--- a/damaskdrift_lab/src/experiment/control_cost.rs
+++ b/damaskdrift_lab/src/experiment/control_cost.rs
@@ -9,9 +9,9 @@
 use tokio::time::{self, Instant};
 
 use crate::error::Error;
+use crate::experiment::fit::Fit;
 use crate::experiment::idle_fleet;
 use crate::experiment::measure::Measure;
-use crate::experiment::statistics;
 use crate::harness::{Call, Fleet, Instance};
 
 /// Time over which an idle fleet is observed.
@@ -184,12 +184,12 @@
         let largest = points.last().map_or(0.0, |point| point.1);
         lines.push(format!(
             "slope of {name}: {:.3} {unit} per instance up to {MESH}; scaled to {FLEET}: {:.1}",
-            statistics::slope(&mesh),
+            Fit::new(&mesh).slope,
             largest * factor,
         ));
     }
     let memory: Vec<_> = costs.iter().map(|(n, cost)| (*n, cost.memory_mb)).collect();
-    lines.push(format!("slope of memory: {:.3} MB per instance", statistics::slope(&memory)));
+    lines.push(format!("slope of memory: {:.3} MB per instance", Fit::new(&memory).slope));
     lines
 }
 
--- a/damaskdrift_lab/src/experiment/measure.rs
+++ b/damaskdrift_lab/src/experiment/measure.rs
@@ -1,10 +1,7 @@
-//! A measured value with its baseline and target.
+//! Lines that state a measured value with its baseline and target.
 
 use std::fmt;
 
-/// Width of the name's column, in characters.
-const NAME_WIDTH: usize = 40;
-
 /// A measured value with its baseline and target; lower is better.
 #[derive(Clone, Debug)]
 pub struct Measure {
@@ -20,14 +17,31 @@
     pub unit: &'static str,
 }
 
+impl Measure {
+    /// Returns whether the target is met.
+    pub fn is_met(&self) -> bool {
+        self.value <= self.target
+    }
+}
+
 impl fmt::Display for Measure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { name, baseline, value, target, unit } = self;
-        let verdict = if value <= target { "met" } else { "not met" };
-        write!(
-            f,
-            "{name:NAME_WIDTH$} baseline {baseline:.2} {unit}, value {value:.2} {unit}, \
-             target {target:.2} {unit}: {verdict}"
-        )
+        let text = |value: &f64| format!("{value:.2} {unit}");
+        let line = line(name, &text(baseline), &text(value), &text(target), self.is_met());
+        f.write_str(&line)
     }
 }
+
+/// Returns the line of a measure: name, baseline, value, target, met or missed.
+pub fn line(name: &str, baseline: &str, value: &str, target: &str, is_met: bool) -> String {
+    let met = if is_met { "met" } else { "MISSED" };
+    format!("{name}: baseline {baseline}, value {value}, target {target}, {met}")
+}
+
+/// Returns the median and the largest of some values; both are 0 when there are none.
+pub fn median_and_max(mut values: Vec<f64>) -> (f64, f64) {
+    values.sort_by(f64::total_cmp);
+    let median = values.get(values.len() / 2).copied().unwrap_or(0.0);
+    (median, values.last().copied().unwrap_or(0.0))
+}
--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -3,11 +3,12 @@
 mod config_spread;
 mod control_cost;
 mod domain_move;
+mod fit;
 mod idle_fleet;
 mod measure;
 mod overhead;
+mod returning_prompts;
 mod slopes;
-mod statistics;
 mod version_moves;
 
 use std::process;
@@ -30,6 +31,7 @@
         "overhead" => overhead::run(args).await,
         "slopes" => slopes::run(args),
         "version-moves" => version_moves::run(args),
+        "returning-prompts" => returning_prompts::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
 }
