Give the listeners of the peer contract tests distinct ports

Cause: in one of several runs a test connected to a listener that did not speak WebSocket. The log of that run is gone; two of the five ports that were chosen one after the other were probably equal.

Change: the test uses the harness's choice, which compares the ports.

--- a/damaskdrift/tests/peer.rs
+++ b/damaskdrift/tests/peer.rs
@@ -4,7 +4,7 @@
 use std::process;
 use std::time::Duration;
 
-use damaskdrift_lab::harness::address;
+use damaskdrift_lab::harness::{address, instance};
 use futures_util::{SinkExt as _, StreamExt as _};
 use rstest::rstest;
 use serde_json::json;
@@ -34,9 +34,9 @@
 impl Instance {
     fn start() -> Self {
         let dir = tempfile::tempdir().expect("a temporary folder");
-        let ip = address::own_ip();
-        let free = |_| address::free_port(ip).expect("a free port");
-        let ports: Vec<_> = (0..5).map(free).collect();
+        // A port that is free once may be given out again, so the listeners' ports are compared.
+        let listen = instance::Listeners::choose().expect("free ports");
+        let absent = address::free_port(address::own_ip()).expect("a free port");
         let token = dir.path().join("token");
         std::fs::write(&token, "operators").expect("the folder is writable");
         let settings = format!(
@@ -44,7 +44,7 @@
              [listen]\ncallers = \"{}\"\noperators = \"{}\"\npeers = \"{}\"\n\
              [platform]\nkey_value = \"{}\"\ninstance_list = \"{}\"\n\
              [operators]\ntoken_file = {token:?}\n",
-            ports[0], ports[1], ports[2], ports[3], ports[4]
+            listen.callers, listen.operators, listen.peers, absent, absent
         );
         let path = dir.path().join("settings.toml");
         std::fs::write(&path, settings).expect("the folder is writable");
@@ -55,7 +55,7 @@
             .stderr(log)
             .spawn()
             .expect("the binary starts");
-        Self { child, dir, peers: ports[2] }
+        Self { child, dir, peers: listen.peers }
     }
 
     fn log(&self) -> String {
