Never let an abandoned stream or a lost attempt look like something else

A repeatable call that lost its answer at one upstream and could not connect to the next was refused with 'not-run' although it had run. Change: the end of a stream is passed on as a piece of its own; without it the connection is aborted. A refusal says 'unknown' once any attempt may have run. A claim is given up after 2 s of failed writes. Without the end piece the new test of a stalled caller fails, without the note of earlier attempts that of the lost answer.

--- a/damaskdrift/src/caller/attempts.rs
+++ b/damaskdrift/src/caller/attempts.rs
@@ -1,6 +1,7 @@
 //! Chooses upstreams for the attempts of one request.
 
 use std::sync;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use damaskdrift_core::code;
@@ -22,7 +23,16 @@
     /// Upstreams that are left to try, best first.
     targets: Vec<upstream::Target>,
     made: u32,
+    progress: Progress,
+}
+
+/// What a request shares with the task that waits for its answer.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    /// Cancelled when the caller goes away.
     gone: CancellationToken,
+    /// Whether an attempt may have run the request.
+    may_have_run: sync::Arc<AtomicBool>,
 }
 
 /// An upstream that takes one attempt.
@@ -48,7 +58,7 @@
             is_repeatable: true,
             targets,
             made: 0,
-            gone: CancellationToken::new(),
+            progress: Progress::default(),
         }
     }
 
@@ -58,9 +68,9 @@
         self
     }
 
-    /// Begins no attempt once the caller has gone away.
-    pub fn with_caller_gone(mut self, gone: CancellationToken) -> Self {
-        self.gone = gone;
+    /// Shares what becomes of the attempts, and begins none once the caller has gone away.
+    pub fn with_progress(mut self, progress: Progress) -> Self {
+        self.progress = progress;
         self
     }
 
@@ -72,7 +82,7 @@
     /// Returns a refusal when no upstream is left or none has a slot in time.
     pub async fn place(&mut self) -> Result<Placed, Refusal> {
         let placed = self.find().await?;
-        if self.gone.is_cancelled() {
+        if self.progress.gone.is_cancelled() {
             return Err(Refusal::new(code::Code::Internal, "the caller has gone away"));
         }
         Ok(placed)
@@ -91,6 +101,9 @@
 
     /// Waits before the next attempt, or returns that there must be none.
     pub async fn may_retry(&mut self, outcome: code::Outcome) -> bool {
+        if outcome != code::Outcome::NotRun {
+            self.progress.may_have_run.store(true, Ordering::Relaxed);
+        }
         if self.targets.is_empty() {
             return false;
         }
@@ -122,19 +135,26 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal of the request.
+/// Returns the refusal of the request. It says `not-run` only if no attempt may have run it: the last
+/// attempt may have failed to connect after an earlier one lost its answer.
 pub async fn detach<F>(
     cx: &context::Context,
-    work: impl FnOnce(CancellationToken) -> F,
+    work: impl FnOnce(Progress) -> F,
 ) -> Result<Response, Refusal>
 where
     F: Future<Output = Result<Response, Refusal>> + Send + 'static,
 {
-    let gone = CancellationToken::new();
-    let guard = gone.clone().drop_guard();
-    let answer = cx.tasks.spawn(work(gone)).await;
+    let progress = Progress::default();
+    let guard = progress.gone.clone().drop_guard();
+    let answer = cx.tasks.spawn(work(progress.clone())).await;
     guard.disarm();
-    answer.unwrap_or_else(|_| {
+    let answer = answer.unwrap_or_else(|_| {
         Err(Refusal::unknown(code::Code::Internal, "the task that ran the request ended early"))
+    });
+    answer.map_err(|refusal| match refusal.outcome {
+        code::Outcome::NotRun if progress.may_have_run.load(Ordering::Relaxed) => {
+            refusal.with_outcome(code::Outcome::Unknown)
+        }
+        _ => refusal,
     })
 }
--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -12,10 +12,9 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
-use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
 
-use crate::caller::attempts::{self, Attempts, Placed};
+use crate::caller::attempts::{self, Attempts, Placed, Progress};
 use crate::caller::prompt::Prompt;
 use crate::caller::refusal::Refusal;
 use crate::caller::relay;
@@ -81,12 +80,12 @@
     /// Returns a refusal when no engine answers.
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
         let cx = self.cx.clone();
-        attempts::detach(&cx, |gone| async move { self.answer(gone).await }).await
+        attempts::detach(&cx, |progress| async move { self.answer(progress).await }).await
     }
 
-    async fn answer(mut self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
+    async fn answer(mut self, progress: Progress) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
-        let (mut attempts, mut plan) = self.prepare(&gone).await?;
+        let (mut attempts, mut plan) = self.prepare(&progress).await?;
         loop {
             let placed = attempts.place().await?;
             // A move may have been vetoed while the prompt waited for a slot.
@@ -94,7 +93,7 @@
             if route != self.route {
                 self.cached = cached(&self.caller, &self.prompt, &route);
                 self.route = route;
-                (attempts, plan) = self.prepare(&gone).await?;
+                (attempts, plan) = self.prepare(&progress).await?;
                 continue;
             }
             if let Some(plan) = &plan {
@@ -243,13 +242,13 @@
     /// Ranks the engines of the route and plans what to import before the prompt is sent.
     async fn prepare(
         &self,
-        gone: &CancellationToken,
+        progress: &Progress,
     ) -> Result<(Attempts, Option<cache::Placed>), Refusal> {
         let mut targets = self.targets()?;
         let fleet = &self.caller.fleet;
         let plan = cache::place(&self.cx, fleet, &self.cached, &mut targets).await;
         let attempts = Attempts::new(&self.cx, &self.caller.workspace, targets);
-        Ok((attempts.with_caller_gone(gone.clone()), plan))
+        Ok((attempts.with_progress(progress.clone()), plan))
     }
 
     fn targets(&self) -> Result<Vec<upstream::Target>, Refusal> {
--- a/damaskdrift/src/caller/once.rs
+++ b/damaskdrift/src/caller/once.rs
@@ -25,6 +25,8 @@
 
 /// Writes of a claim that may fail before the call is refused.
 const CLAIM_FAILURES: u32 = 4;
+/// Time after which a failed write of a claim is not repeated.
+const CLAIM_WAIT: Duration = Duration::from_secs(2);
 /// Time after which a caller gets an answer that is not recorded yet.
 const RECORD_WAIT: Duration = Duration::from_secs(2);
 /// Longest wait of one look at another attempt's record; watches with longer waits would outlive
@@ -107,6 +109,7 @@
         let mut call = idempotency::Call::new(self.ticket.clone());
         let mut pauses = pauses();
         let mut failures = 0;
+        let last = Instant::now() + CLAIM_WAIT;
         loop {
             let asked = self.cx.now();
             let written = self.write(&call.record(), call.expected()).await;
@@ -116,7 +119,7 @@
                 let Claim::Write(again) = claim else {
                     unreachable!("a failed write is repeated");
                 };
-                if failures == CLAIM_FAILURES {
+                if failures == CLAIM_FAILURES || Instant::now() >= last {
                     return Err(Err(self.abandon(again, &written)));
                 }
                 tokio::time::sleep(pauses.next()).await;
--- a/damaskdrift/src/caller/relay.rs
+++ b/damaskdrift/src/caller/relay.rs
@@ -28,10 +28,20 @@
 /// Wait before the second attempt to resume; it doubles with each further one.
 const RESUME_WAIT: Duration = Duration::from_millis(50);
 
-/// Takes the pieces of a stream.
-pub type Sender = mpsc::Sender<Result<Bytes, Broken>>;
-/// Gives the pieces of a stream.
-pub type Receiver = mpsc::Receiver<Result<Bytes, Broken>>;
+/// Takes what a stream brings to its caller.
+pub type Sender = mpsc::Sender<Piece>;
+/// Gives what a stream brings to its caller.
+pub type Receiver = mpsc::Receiver<Piece>;
+
+/// What a stream brings to its caller. The end is a piece of its own: a channel that is closed
+/// without it was abandoned, and its caller must not take the stream for complete.
+#[derive(Debug)]
+pub enum Piece {
+    /// The next bytes.
+    Data(Bytes),
+    /// The end of a complete stream.
+    End,
+}
 
 /// Identifies a stream at its engine.
 #[derive(Clone, Debug)]
@@ -122,7 +132,7 @@
     /// the engine keeps it for a resumption and the slot must cover it until then.
     pub async fn relay(mut self, first: Bytes, tx: Sender) -> Seen {
         let stall = self.cx.upstreams.timeouts().answer;
-        let mut tx = deliver(Some(tx), Ok(first), stall).await;
+        let mut tx = deliver(Some(tx), Piece::Data(first), stall).await;
         let mut last = Instant::now();
         let mut seen = Seen { is_complete: false, longest_gap: None };
         loop {
@@ -131,14 +141,14 @@
                 Ok(None) => break,
                 Err(failure) => {
                     log::warn!("[{}] {}: {failure}", failure.code.number(), self.stream.request);
-                    deliver(tx, Err(Broken), stall).await;
                     return seen;
                 }
             };
             seen.longest_gap = seen.longest_gap.max(Some(last.elapsed().into()));
-            tx = deliver(tx, Ok(piece), stall).await;
+            tx = deliver(tx, Piece::Data(piece), stall).await;
             last = Instant::now();
         }
+        deliver(tx, Piece::End, stall).await;
         seen.is_complete = true;
         if let Some(boot) = &self.boot {
             slots::completed(&self.cx, &self.stream.target.id, boot);
@@ -207,11 +217,7 @@
 
 /// Passes a piece to the caller and returns the channel while the caller still takes pieces; one that
 /// takes none for `stall` is cut off.
-async fn deliver(
-    tx: Option<Sender>,
-    piece: Result<Bytes, Broken>,
-    stall: Duration,
-) -> Option<Sender> {
+async fn deliver(tx: Option<Sender>, piece: Piece, stall: Duration) -> Option<Sender> {
     let tx = tx?;
     tx.send_timeout(piece, stall).await.is_ok().then_some(tx)
 }
@@ -227,6 +233,12 @@
 
 /// Builds the caller's answer from a channel of pieces.
 pub fn response(rx: Receiver) -> warp::reply::Response {
-    let pieces = stream::unfold(rx, |mut rx| async { rx.recv().await.map(|piece| (piece, rx)) });
+    let pieces = stream::unfold(rx, |mut rx| async {
+        match rx.recv().await {
+            Some(Piece::Data(bytes)) => Some((Ok(bytes), rx)),
+            Some(Piece::End) => None,
+            None => Some((Err(Broken), rx)),
+        }
+    });
     warp::Reply::into_response(warp::reply::stream(pieces))
 }
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -13,10 +13,9 @@
 use hyper::header::HeaderName;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, StatusCode};
-use tokio_util::sync::CancellationToken;
 use warp::Reply as _;
 
-use crate::caller::attempts::{self, Attempts, Placed};
+use crate::caller::attempts::{self, Attempts, Placed, Progress};
 use crate::caller::refusal::Refusal;
 use crate::caller::request::{self, Caller};
 use crate::caller::{answer, once, request_id, route};
@@ -97,13 +96,13 @@
             return once::run(self, &key).await.map(Answer::into_response);
         }
         let cx = self.cx.clone();
-        attempts::detach(&cx, |gone| async move { self.repeat(gone).await }).await
+        attempts::detach(&cx, |progress| async move { self.repeat(progress).await }).await
     }
 
-    async fn repeat(&self, gone: CancellationToken) -> Result<warp::reply::Response, Refusal> {
+    async fn repeat(&self, progress: Progress) -> Result<warp::reply::Response, Refusal> {
         let workspace = &self.caller.workspace;
         let mut attempts =
-            Attempts::new(&self.cx, workspace, self.targets()?).with_caller_gone(gone);
+            Attempts::new(&self.cx, workspace, self.targets()?).with_progress(progress);
         loop {
             let Placed { target, slot } = attempts.place().await?;
             let refusal = match self.attempt(&target, &slot).await {
--- a/damaskdrift_lab/tests/at_most_once.rs
+++ b/damaskdrift_lab/tests/at_most_once.rs
@@ -126,6 +126,21 @@
     assert_eq!(runs(&fleet).await["k1"], 1);
 }
 
+// Guards against a not-run about a call that lost its answer at one upstream and could not connect to
+// the next.
+#[tokio::test]
+async fn lost_answer_before_a_failed_retry_is_unknown() {
+    let fleet = builder().with_upstream_links().start().await.expect("the fleet starts");
+    fleet.services[0].set_fault(&json!({"lose_answers": 1.0})).await.expect("the fault is set");
+    fleet.service_link(1).set_mode(Mode::CUT).await.expect("the mode is set");
+    for n in 1..=8 {
+        let call = fleet.instances[0].call(Method::GET, "/v1/services/lodging/prices", KEY);
+        let told = send(&fleet, call).await;
+        let count = runs(&fleet).await.get("").copied().unwrap_or(0);
+        assert_eq!((told, count), (Outcome::Refused("unknown".to_owned()), n));
+    }
+}
+
 // Guards against sending without a claim, and against a key that stays unusable after an outage.
 #[tokio::test]
 async fn outage_of_the_key_value_service_refuses_calls() {
--- a/damaskdrift_lab/tests/streams.rs
+++ b/damaskdrift_lab/tests/streams.rs
@@ -10,6 +10,8 @@
 use hyper::Method;
 use rstest::rstest;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpSocket;
 
 /// Tokens of an answer; at 100 a second it takes about a second.
 const TOKENS: usize = 100;
@@ -179,3 +181,31 @@
         assert_eq!(stream.rest().await.expect("a whole stream"), want(&request, &text));
     }
 }
+
+// Guards against a truncated stream that looks complete to a caller which stopped reading for too
+// long, and against one that fills the instance's memory.
+#[tokio::test]
+async fn a_caller_that_stops_reading_is_cut_off() {
+    let fleet = builder()
+        .with_engine_args(&["--decode-rate-each", "0"])
+        .with_setting("limits", "upstream_timeout_ms", 1_000)
+        .start()
+        .await
+        .expect("the fleet starts");
+    let body = json!({"model": MODEL, "prompt": "x", "max_tokens": 100_000, "stream": true});
+    let (body, address) = (body.to_string(), fleet.instances[0].listen.callers);
+    let head = format!("authorization: Bearer {KEY}\r\ncontent-length: {}", body.len());
+    let request = format!("POST /v1/completions HTTP/1.1\r\n{head}\r\n\r\n{body}");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(8_192).expect("the size is set");
+    let mut caller = socket.connect(address).await.expect("accepted");
+    caller.write_all(request.as_bytes()).await.expect("the request is sent");
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let memory = fleet.instances[0].process.resident_bytes().expect("the memory is known");
+    assert!(memory < 64 << 20, "{memory} bytes are resident");
+    let mut answer = Vec::new();
+    // The end of the connection may be a reset.
+    let _ = caller.read_to_end(&mut answer).await;
+    assert!(answer.len() > 100_000, "{} bytes", answer.len());
+    assert!(!answer.ends_with(b"\r\n0\r\n\r\n"), "the stream looks complete");
+}
