Add the experiment that checks the guarantees under drawn faults

Cause: single tests produce one fault each; pairs of faults were not tried. Change: callers stream prompts and send calls that may not be repeated while kills, pauses, planned stops, engine restarts, service outages, cuts and domain moves are drawn from a seed; the checks use what callers, engines and services saw.

--- /dev/null
+++ b/damaskdrift_lab/src/experiment/faults/mod.rs
@@ -0,0 +1,143 @@
+//! A mixed load under faults that are drawn from a seed, with checks of the guarantees.
+
+mod fault;
+mod load;
+mod verdict;
+
+use std::process;
+use std::time::{Duration, Instant};
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use tokio::time;
+
+use crate::error::Error;
+use crate::experiment::faults::fault::{Fault, Scene};
+use crate::experiment::faults::load::Load;
+use crate::experiment::faults::verdict::Verdict;
+use crate::harness::Fleet;
+use crate::standin::flag;
+
+const HELP: &str = "\
+Check the guarantees under single and double faults
+
+Usage: damaskdrift_lab experiment faults [OPTIONS]
+
+Draws faults from the seed while callers stream prompts and send calls that may not be repeated.
+Prints the rounds by fault and the checks by guarantee; exits non-zero on a breach.
+
+Options:
+  --seed N     Seed of the faults [1]
+  --minutes F  Length of the run [1]
+  -h, --help   Print help
+";
+
+const INSTANCES: usize = 4;
+const ENGINES: usize = 3;
+const SERVICES: usize = 2;
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+const COLD_LIMIT: u32 = 4;
+const WARM_LIMIT: u32 = 24;
+const START_LIMIT: Duration = Duration::from_secs(60);
+/// Time for which a fault lasts, and the time after it.
+const FAULT_TIME: Duration = Duration::from_secs(4);
+const HEAL_TIME: Duration = Duration::from_secs(4);
+/// Probability of a second fault in a round.
+const DOUBLE: f64 = 0.4;
+
+#[derive(Clone, Copy, Debug)]
+struct Options {
+    seed: u64,
+    length: Duration,
+}
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Returns why it could not run.
+pub async fn run(args: lexopt::Parser) -> Result<process::ExitCode, Error> {
+    let Some(options) = parse(args)? else {
+        print!("{HELP}");
+        return Ok(process::ExitCode::SUCCESS);
+    };
+    let mut fleet = Fleet::builder()
+        .with_instances(INSTANCES)
+        .with_engines(ENGINES)
+        .with_services(SERVICES)
+        .with_failure_domains(&DOMAINS)
+        .with_engine_limits(COLD_LIMIT, WARM_LIMIT)
+        .with_engine_args(&["--cold-ms", "3000", "--cold-overload", "slow"])
+        .with_service_args(&["--delay-ms", "20"])
+        .with_setting("drain", "accept_ms", 500)
+        .with_key_value_links()
+        .with_peer_links()
+        .start()
+        .await?;
+    fleet.warm_up(START_LIMIT).await?;
+    let verdict = inject(&mut fleet, options).await?;
+    print!("{verdict}");
+    if verdict.is_kept() {
+        println!("faults: ok with seed {}", options.seed);
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    println!("faults: breached; repeat with --seed {}", options.seed);
+    Ok(process::ExitCode::FAILURE)
+}
+
+fn parse(mut args: lexopt::Parser) -> Result<Option<Options>, Error> {
+    let mut options = Options { seed: 1, length: Duration::from_secs(60) };
+    while let Some(arg) = args.next()? {
+        match arg {
+            lexopt::Arg::Long("seed") => options.seed = flag::value(&mut args)?,
+            lexopt::Arg::Long("minutes") => {
+                let minutes: f64 = flag::value(&mut args)?;
+                let length = Duration::try_from_secs_f64(minutes * 60.0);
+                let message = |_| Error::Usage("--minutes must be a positive number".to_owned());
+                options.length = length.map_err(message)?;
+            }
+            lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Some(options))
+}
+
+async fn inject(fleet: &mut Fleet, options: Options) -> Result<Verdict, Error> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut verdict = Verdict::default();
+    let load = Load::start(fleet);
+    let start = Instant::now();
+    let mut scene = Scene::new(fleet);
+    while start.elapsed() < options.length {
+        let faults = draw(&mut rng);
+        let names: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        println!("{:5.1} s: {}", start.elapsed().as_secs_f64(), names.join(" and "));
+        verdict.note_round(&faults);
+        for fault in &faults {
+            scene.begin(*fault, &mut verdict).await?;
+        }
+        time::sleep(FAULT_TIME).await;
+        for fault in &faults {
+            scene.end(*fault).await?;
+        }
+        scene.recover(&faults, &mut verdict).await?;
+        time::sleep(HEAL_TIME).await;
+    }
+    scene.finish(&mut verdict).await?;
+    let records = load.stop().await;
+    verdict.add_load(&records, &scene.runs().await?, scene.drains());
+    Ok(verdict)
+}
+
+fn draw(rng: &mut ChaCha8Rng) -> Vec<Fault> {
+    let first = Fault::draw(rng, INSTANCES, ENGINES);
+    let mut faults = vec![first];
+    if rng.random_bool(DOUBLE) {
+        let second = Fault::draw(rng, INSTANCES, ENGINES);
+        if !second.conflicts(first) {
+            faults.push(second);
+        }
+    }
+    faults
+}
--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod config_spread;
 mod control_cost;
 mod domain_move;
+mod faults;
 mod fit;
 mod idle_fleet;
 mod measure;
@@ -28,6 +29,7 @@
         "config-spread" => config_spread::run(args).await,
         "control-cost" => control_cost::run(args).await,
         "domain-move" => domain_move::run(args).await,
+        "faults" => faults::run(args).await,
         "overhead" => overhead::run(args).await,
         "slopes" => slopes::run(args),
         "version-moves" => version_moves::run(args),
