--- a/damaskdrift/src/caller/relay.rs
+++ b/damaskdrift/src/caller/relay.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
+use crate::backoff;
 use crate::caller::resume;
 use crate::context;
 use crate::control::slots;
@@ -186,7 +187,8 @@
         let mut wait = Duration::ZERO;
         while self.attempts_left > 0 {
             self.attempts_left -= 1;
-            tokio::time::sleep(wait).await;
+            // All streams of an engine break together; the jitter keeps them from returning together.
+            tokio::time::sleep(backoff::jittered(wait, 0.5..1.0)).await;
             wait = (wait * 2).max(RESUME_WAIT);
             let opened =
                 resume::open(&self.cx, &self.stream, self.boot.as_ref(), self.offset).await;
