--- a/damaskdrift_lab/src/experiment/mod.rs
+++ b/damaskdrift_lab/src/experiment/mod.rs
@@ -1,8 +1,14 @@
 //! Experiments that measure a policy against its baseline.
 
+mod config_spread;
+mod control_cost;
 mod domain_move;
+mod fit;
+mod idle_fleet;
 mod measure;
 mod overhead;
+mod returning_prompts;
+mod slopes;
 mod version_moves;
 
 use std::process;
@@ -19,9 +25,13 @@
 pub async fn run(mut args: lexopt::Parser) -> Result<process::ExitCode, Error> {
     let name = args.value()?.string()?;
     match name.as_str() {
+        "config-spread" => config_spread::run(args).await,
+        "control-cost" => control_cost::run(args).await,
         "domain-move" => domain_move::run(args).await,
         "overhead" => overhead::run(args).await,
+        "slopes" => slopes::run(args),
         "version-moves" => version_moves::run(args),
+        "returning-prompts" => returning_prompts::run(args),
         other => Err(Error::Usage(format!("unknown experiment {other:?}"))),
     }
 }
