--- a/damaskdrift_lab/src/experiment/config_spread.rs
+++ b/damaskdrift_lab/src/experiment/config_spread.rs
@@ -9,13 +9,13 @@
 use crate::error::Error;
 use crate::experiment::fit::Fit;
 use crate::experiment::idle_fleet;
-use crate::experiment::measure;
+use crate::experiment::measure::{self, Measure};
 use crate::harness::Fleet;
 
 /// Changes of each kind and fleet size.
 const ROUNDS: usize = 10;
-/// Largest time until all of 8 instances have a change.
-const TARGET: Duration = Duration::from_secs(2);
+/// Largest time until all of 8 instances have a change, in milliseconds.
+const TARGET_MS: f64 = 2_000.0;
 /// Pause between two changes; it is no multiple of the watch time, so that changes fall into all
 /// parts of a watch.
 const PAUSE: Duration = Duration::from_millis(330);
@@ -60,15 +60,13 @@
         let (polling_median, polling_max) = measure::median_and_max(times.polling);
         operator.push((instances as f64, operator_median));
         service.push((instances as f64, service_median));
-        let baseline = format!("{polling_median:.0}/{polling_max:.0} ms");
-        let limit = TARGET.as_millis() as f64;
         for (writer, median, max) in [
             ("an instance", operator_median, operator_max),
             ("the service", service_median, service_max),
         ] {
-            let name = format!("change through {writer}, {instances} instances");
-            let value = format!("{median:.0}/{max:.0} ms");
-            println!("{}", measure::line(&name, &baseline, &value, "max 2000 ms", max <= limit));
+            let name = |kind: &str| format!("{instances} instances, by {writer}, {kind}");
+            println!("{}", bound(name("median"), polling_median, median));
+            println!("{}", bound(name("max"), polling_max, max));
         }
     }
     println!("slope through an instance: {:.2} ms per instance", Fit::new(&operator).slope);
@@ -76,6 +74,10 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+fn bound(name: String, baseline: f64, value: f64) -> Measure {
+    Measure { name, baseline, value, target: TARGET_MS, unit: "ms" }
+}
+
 async fn measure_size(instances: usize) -> Result<Times, Error> {
     let fleet = idle_fleet::start(instances).await?;
     let mut times = Times::default();
--- a/damaskdrift_lab/src/experiment/control_cost.rs
+++ b/damaskdrift_lab/src/experiment/control_cost.rs
@@ -4,13 +4,14 @@
 use std::process;
 use std::time::Duration;
 
+use damaskdrift_core::membership;
 use serde::Deserialize;
 use tokio::time::{self, Instant};
 
 use crate::error::Error;
 use crate::experiment::fit::Fit;
 use crate::experiment::idle_fleet;
-use crate::experiment::measure;
+use crate::experiment::measure::Measure;
 use crate::harness::{Call, Fleet, Instance};
 
 /// Time over which an idle fleet is observed.
@@ -19,8 +20,8 @@
 const WARM_UP: Duration = Duration::from_secs(3);
 /// Clock ticks a second in `/proc/PID/stat`; Linux fixes it for user space.
 const TICKS_PER_S: f64 = 100.0;
-/// Most processor time of an idle instance, as a share of a core.
-const CPU_TARGET: f64 = 0.01;
+/// Most processor time of an idle instance, in percent of a core.
+const CPU_TARGET: f64 = 1.0;
 /// Most resident memory of an instance, in MB.
 const MEMORY_TARGET_MB: f64 = 256.0;
 /// Most bytes a second that an idle instance sends to peers.
@@ -28,7 +29,13 @@
 /// Reads a second that the key-value service allows.
 const CALLS_TARGET: f64 = 2_000.0;
 /// Fleet size that the design is made for, in instances.
-const FLEET: f64 = 330.0;
+const FLEET: usize = 330;
+/// Failure domains of that fleet.
+const FLEET_DOMAINS: f64 = 5.0;
+/// Largest measured fleet, in instances.
+const LARGEST: usize = idle_fleet::SIZES[idle_fleet::SIZES.len() - 1];
+/// Largest fleet in which every instance pings every other one, in instances.
+const MESH: f64 = membership::FULL_MESH_MAX as f64;
 /// Counter of bytes sent to peers, without the framing of WebSocket, TCP and IP.
 const SENT_BYTES: &str = "damaskdrift_peer_sent_bytes_total";
 
@@ -37,7 +44,8 @@
 
 Usage: damaskdrift_lab experiment control-cost
 
-Baseline of the key-value calls: every instance polls the service each 500 ms.
+Baselines: for key-value calls, every instance polls the service each 500 ms (computed); for CPU
+and memory, the fleet of 2; for bytes, a full mesh of the same size (computed).
 ";
 
 /// What an idle fleet costs.
@@ -45,7 +53,7 @@
 struct Cost {
     /// Calls of the whole fleet to the key-value service a second.
     calls: f64,
-    /// Share of a core, mean of the instances.
+    /// Percent of a core, mean of the instances.
     cpu: f64,
     /// Resident memory in MB, largest of the instances.
     memory_mb: f64,
@@ -89,10 +97,10 @@
     let mut costs = Vec::new();
     for instances in idle_fleet::SIZES {
         let cost = measure_size(instances).await?;
-        for line in lines(instances, cost) {
-            println!("{line}");
-        }
         costs.push((instances as f64, cost));
+        for measure in measures(instances, cost, costs[0].1) {
+            println!("{measure}");
+        }
     }
     for line in slopes(&costs) {
         println!("{line}");
@@ -114,65 +122,74 @@
     }
     Ok(Cost {
         calls: (after.calls - before.calls) as f64 / seconds,
-        cpu: (after.ticks - before.ticks) as f64 / TICKS_PER_S / seconds / count,
+        cpu: (after.ticks - before.ticks) as f64 / TICKS_PER_S / seconds / count * 100.0,
         memory_mb: memory as f64 / 1e6,
         bytes: (after.bytes - before.bytes) / seconds / count,
     })
 }
 
-fn lines(instances: usize, cost: Cost) -> Vec<String> {
-    let line = |what: &str, baseline: &str, value: String, target: &str, is_met: bool| {
-        measure::line(&format!("{what}, {instances} instances"), baseline, &value, target, is_met)
-    };
-    let polls = instances as f64 / idle_fleet::POLL_INTERVAL.as_secs_f64();
-    let cpu = cost.cpu * 100.0;
-    vec![
-        line(
-            "key-value calls of the fleet",
-            &format!("{polls:.1}/s (computed)"),
-            format!("{:.1}/s", cost.calls),
-            "2000/s",
-            cost.calls <= CALLS_TARGET,
-        ),
-        line("CPU", "none", format!("{cpu:.2}% of a core"), "1%", cost.cpu <= CPU_TARGET),
-        line(
-            "memory",
-            "none",
-            format!("{:.1} MB", cost.memory_mb),
-            "256 MB",
-            cost.memory_mb <= MEMORY_TARGET_MB,
-        ),
-        line(
-            "bytes sent to peers",
-            "none",
-            format!("{:.0} B/s", cost.bytes),
-            "2000 B/s",
-            cost.bytes <= BYTES_TARGET,
-        ),
+/// Returns the measures of a fleet; `smallest` is the cost of the smallest one.
+fn measures(instances: usize, cost: Cost, smallest: Cost) -> [Measure; 4] {
+    let name = |what: &str| format!("{instances} instances, {what}");
+    let full_mesh = (instances - 1) as f64 / membership::degree(instances) as f64;
+    [
+        Measure {
+            name: name("key-value calls"),
+            baseline: instances as f64 / idle_fleet::POLL_INTERVAL.as_secs_f64(),
+            value: cost.calls,
+            target: CALLS_TARGET,
+            unit: "/s",
+        },
+        Measure {
+            name: name("CPU"),
+            baseline: smallest.cpu,
+            value: cost.cpu,
+            target: CPU_TARGET,
+            unit: "% of a core",
+        },
+        Measure {
+            name: name("memory"),
+            baseline: smallest.memory_mb,
+            value: cost.memory_mb,
+            target: MEMORY_TARGET_MB,
+            unit: "MB",
+        },
+        Measure {
+            name: name("bytes sent to peers"),
+            baseline: cost.bytes * full_mesh,
+            value: cost.bytes,
+            target: BYTES_TARGET,
+            unit: "B/s",
+        },
     ]
 }
 
-/// Returns the slopes up to the full mesh and beyond it, where the heartbeat degree is bounded.
+/// Returns what each further instance adds up to the full mesh, and the value at the size that the
+/// design is made for.
+///
+/// Beyond the full mesh CPU and bytes grow with the number of peers that are pinged, and the calls
+/// with the failure domains, so the value at 32 instances is scaled by these.
 fn slopes(costs: &[(f64, Cost)]) -> Vec<String> {
     let mut lines = Vec::new();
-    let measures: [(&str, &str, Value); 4] = [
-        ("key-value calls of the fleet", "/s", |cost| cost.calls),
-        ("CPU", "% of a core", |cost| cost.cpu * 100.0),
-        ("memory", "MB", |cost| cost.memory_mb),
-        ("bytes sent to peers", "B/s", |cost| cost.bytes),
+    let degrees = membership::degree(FLEET) as f64 / membership::degree(LARGEST) as f64;
+    let domains = FLEET_DOMAINS / idle_fleet::DOMAINS.len() as f64;
+    let values: [(&str, &str, f64, Value); 3] = [
+        ("key-value calls", "/s", domains, |cost| cost.calls),
+        ("CPU", "% of a core", degrees, |cost| cost.cpu),
+        ("bytes sent to peers", "B/s", degrees, |cost| cost.bytes),
     ];
-    for (name, unit, value) in measures {
+    for (name, unit, factor, value) in values {
         let points: Vec<_> = costs.iter().map(|(n, cost)| (*n, value(cost))).collect();
-        let (mesh, beyond) = (&points[..4], &points[3..]);
-        let slope = Fit::new(beyond).slope;
-        let last = points[points.len() - 1];
+        let mesh: Vec<_> = points.iter().copied().filter(|(n, _)| *n <= MESH).collect();
+        let largest = points.last().map_or(0.0, |point| point.1);
         lines.push(format!(
-            "slope of {name}: {:.3} {unit} per instance up to 16, {slope:.3} from 16 to 32; \
-             extrapolated to 330: {:.1} {unit}",
-            Fit::new(mesh).slope,
-            last.1 + slope * (FLEET - last.0),
+            "slope of {name}: {:.3} {unit} per instance up to {MESH}; scaled to {FLEET}: {:.1}",
+            Fit::new(&mesh).slope,
+            largest * factor,
         ));
     }
+    let memory: Vec<_> = costs.iter().map(|(n, cost)| (*n, cost.memory_mb)).collect();
+    lines.push(format!("slope of memory: {:.3} MB per instance", Fit::new(&memory).slope));
     lines
 }
 
