--- a/damaskdrift_lab/tests/moves.rs
+++ b/damaskdrift_lab/tests/moves.rs
@@ -152,7 +152,7 @@
     described["state"]["state"].as_str().unwrap_or_default()
 }
 
-/// Guards against a good version that is not done in time, also when its driver is killed, and
+/// Guards against a good version that is not done when its driver is killed on the way, and
 /// against a status that does not say so.
 #[tokio::test(flavor = "multi_thread")]
 async fn good_version_is_done_although_its_driver_dies() {
--- a/damaskdrift_lab/tests/operators.rs
+++ b/damaskdrift_lab/tests/operators.rs
@@ -2,7 +2,7 @@
 
 use std::process::{Command, Output};
 
-use damaskdrift_lab::harness::fleet::{MODEL, WORKSPACE};
+use damaskdrift_lab::harness::fleet::{KEY, MODEL, WORKSPACE};
 use damaskdrift_lab::harness::instance::OPERATOR_TOKEN;
 use damaskdrift_lab::harness::{Call, Fleet, binary};
 use hyper::Method;
@@ -133,3 +133,25 @@
         assert!(text.contains(fault), "{fault} is missing in {text}");
     }
 }
+
+/// Guards against a burn report that misses the requests of other instances, or draws nothing.
+#[tokio::test]
+async fn burn_report_counts_all_instances() {
+    let fleet = start().await;
+    let body = serde_json::json!({"model": MODEL, "prompt": "hello", "max_tokens": 2});
+    for instance in &fleet.instances {
+        let call = instance.call(Method::POST, "/v1/completions", KEY).with_json(&body);
+        assert_eq!(instance.send(call).await.expect("the instance answers").status, 200);
+    }
+    let file = tempfile::NamedTempFile::new().expect("a file can be made");
+    let path = file.path().to_str().expect("the path is UTF-8");
+    let output = command(&fleet, &["report", "burn", "--json", "--svg", path]);
+    let report: serde_json::Value =
+        serde_json::from_slice(&output.stdout).expect("the report is JSON");
+    let rows = report["rows"].as_array().expect("there are rows");
+    let is_availability = |row: &&serde_json::Value| row["measure"] == "availability";
+    let row = rows.iter().find(is_availability).expect("there is a row for availability");
+    assert_eq!(row["windows"][0][0], serde_json::json!({"requests": 2, "bad": 0}), "{report}");
+    let plot = std::fs::read_to_string(path).expect("the plot was written");
+    assert!(plot.contains("polyline") && plot.contains("notices availability"), "{plot}");
+}
