Show moves and leaving upstreams in status, dates in history

'status' lists the moves and their driver, 'upstream status' counts a leaving upstream as taking no work, 'template history' prints dates (jiff, already in the lock file through logforth). A process test pauses the driver for longer than its lease.

--- a/damaskdrift/src/operator/command/status.rs
+++ b/damaskdrift/src/operator/command/status.rs
@@ -22,7 +22,7 @@
         Some(reason) => format!("takes no new work: {reason}"),
         None => "takes new work".to_owned(),
     };
-    let text = format!(
+    let mut text = format!(
         "instance {} in {}, {ready}\nfleet document: revision {}, {:?} by {}\n",
         word("instance"),
         word("failure_domain"),
@@ -30,5 +30,11 @@
         answer["change"]["summary"].as_str().unwrap_or(""),
         answer["change"]["author"].as_str().unwrap_or("")
     );
+    if let Some(driver) = answer["driver"].as_str() {
+        text.push_str(&format!("moves are driven by {driver}\n"));
+    }
+    for m in answer["moves"].as_array().map(Vec::as_slice).unwrap_or_default() {
+        text.push_str(&format!("{}\n", m["sentence"].as_str().unwrap_or("?")));
+    }
     Ok(Output::new(answer, text))
 }
--- a/damaskdrift/src/operator/command/template.rs
+++ b/damaskdrift/src/operator/command/template.rs
@@ -3,6 +3,7 @@
 use std::path;
 
 use damaskdrift_core::fleet;
+use damaskdrift_core::time::UnixMillis;
 use hyper::Method;
 
 use crate::operator::Error;
@@ -105,10 +106,17 @@
     let mut text = String::new();
     for change in &changes {
         let fleet::Change { id, at, author, summary } = change;
-        text.push_str(&format!("{} ms  {id}  {author}: {summary}\n", at.0));
+        text.push_str(&format!("{}  {id}  {author}: {summary}\n", date(*at)));
     }
     if changes.is_empty() {
         text.push_str("no changes\n");
     }
     Ok(Output::new(answer, text))
 }
+
+/// Formats a time in UTC; one outside the calendar stays in milliseconds since 1970.
+fn date(at: UnixMillis) -> String {
+    let millis = i64::try_from(at.0).unwrap_or(i64::MAX);
+    let date = jiff::Timestamp::from_millisecond(millis);
+    date.map_or_else(|_| format!("{} ms", at.0), |date| date.to_string())
+}
--- a/damaskdrift/src/operator/status.rs
+++ b/damaskdrift/src/operator/status.rs
@@ -5,7 +5,7 @@
 use damaskdrift_core::id;
 
 use crate::context;
-use crate::control::{driver, freshness, lifecycle, observe, sync as config};
+use crate::control::{driver, freshness, lifecycle, observe, roster, sync as config};
 use crate::operator::moves;
 use crate::peer;
 use crate::peer::message;
@@ -76,7 +76,10 @@
     let list = document.upstreams.iter().map(|(name, upstream)| {
         let mut value = serde_json::json!(upstream);
         value["id"] = serde_json::json!(name);
-        value["takes_work"] = document.is_domain_in(&upstream.failure_domain).into();
+        let is_leaving = roster::is_leaving(cx, name);
+        value["leaving"] = is_leaving.into();
+        let is_in = document.is_domain_in(&upstream.failure_domain);
+        value["takes_work"] = (is_in && !is_leaving).into();
         value
     });
     serde_json::json!({"revision": snapshot.revision, "upstreams": list.collect::<Vec<_>>()})
--- a/damaskdrift_lab/tests/moves.rs
+++ b/damaskdrift_lab/tests/moves.rs
@@ -8,6 +8,7 @@
 use damaskdrift_lab::harness::fleet::{KEY, MODEL, WORKSPACE};
 use damaskdrift_lab::harness::{Call, Client, Fleet, Standin};
 use hyper::Method;
+use rstest::rstest;
 use serde_json::{Value, json};
 
 /// Mean time between two prompts.
@@ -98,6 +99,15 @@
         }
     }
 
+    /// Returns the instance that holds the driver's lease.
+    async fn driver(&self) -> Option<usize> {
+        let lease = self.fleet.key_value.get_key("move-driver").await;
+        let (holder, _) = lease.expect("the service answers")?;
+        let holder = String::from_utf8_lossy(&holder).into_owned();
+        let name = holder.split(' ').next();
+        self.fleet.instances.iter().position(|instance| Some(instance.id.as_str()) == name)
+    }
+
     async fn requests(&self) -> u64 {
         let stats: Value = self.new.stats().await.expect("the engine answers");
         stats["requests"].as_u64().expect("the engine counts requests")
@@ -152,22 +162,32 @@
     described["state"]["state"].as_str().unwrap_or_default()
 }
 
-/// Guards against a good version that is not done when its driver is killed on the way, and
-/// against a status that does not say so.
+/// Guards against a good version that is not done when its driver is killed or paused on the way,
+/// a paused driver that goes on with its lost lease, and a status that does not say so.
+#[rstest]
+#[case::killed(false)]
+#[case::paused(true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn good_version_is_done_although_its_driver_dies() {
+async fn good_version_is_done_although_its_driver_fails(#[case] is_paused: bool) {
     let mut setting = Setting::start().await;
     setting.start_move().await;
     let limit = Duration::from_millis(WITHIN_MS);
     setting.wait(0, limit, |m| m["step"].as_u64() >= Some(2)).await;
-    let lease = setting.fleet.key_value.get_key("move-driver").await.expect("the service answers");
-    let (holder, _) = lease.expect("an instance drives");
-    let holder = String::from_utf8_lossy(&holder).into_owned();
-    let is_driver =
-        |instance: &damaskdrift_lab::harness::Instance| holder.starts_with(&instance.id);
-    let driver = setting.fleet.instances.iter().position(is_driver).expect("it is an instance");
-    setting.fleet.instances[driver].process.kill().expect("the driver runs");
+    let driver = setting.driver().await.expect("an instance drives");
+    let process = &mut setting.fleet.instances[driver].process;
+    if is_paused { process.freeze() } else { process.kill() }.expect("the driver runs");
     let other = (driver + 1) % 3;
+    let start = Instant::now();
+    while setting.driver().await.is_none_or(|present| present == driver) {
+        assert!(start.elapsed() < Duration::from_secs(20), "there is no successor");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let successor = setting.driver().await;
+    if is_paused {
+        setting.fleet.instances[driver].process.thaw().expect("the driver is frozen");
+        tokio::time::sleep(GRACE).await;
+        assert_eq!(setting.driver().await, successor, "the paused driver holds the lease");
+    }
     let m = setting.wait(other, limit, |m| state(m) == "done").await;
     let sentence = m["sentence"].as_str().expect("there is a sentence");
     assert!(sentence.starts_with("move m is done: all of kernel of notices goes to v2"), "{m}");
