--- a/damaskdrift_lab/src/experiment/slopes.rs
+++ b/damaskdrift_lab/src/experiment/slopes.rs
@@ -10,6 +10,7 @@
 use damaskdrift_core::{admission, config_sync, fleet, id, membership};
 
 use crate::error::Error;
+use crate::experiment::fit::Fit;
 use crate::harness::document;
 
 const HELP: &str = "\
@@ -33,15 +34,6 @@
 const WORKSPACE_SIZES: [u32; 6] = [10, 50, 100, 200, 300, 370];
 const UPSTREAM_SIZES: [u32; 6] = [18, 100, 200, 300, 450, 600];
 
-/// A fitted line.
-#[derive(Clone, Copy, Debug)]
-struct Fit {
-    slope: f64,
-    slope_error: f64,
-    intercept: f64,
-    r_squared: f64,
-}
-
 /// Runs the experiment.
 ///
 /// # Errors
@@ -72,27 +64,8 @@
 
 fn print(name: &str, unit: &str, sizes: &[u32], cost: impl Fn(u32) -> f64) {
     let points: Vec<_> = sizes.iter().map(|n| (f64::from(*n), cost(*n))).collect();
-    let Fit { slope, slope_error, intercept, r_squared } = fit(&points);
     let (first, last) = (sizes[0], sizes[sizes.len() - 1]);
-    println!(
-        "{name:34} x = {first} to {last}: slope {slope:.4} +- {slope_error:.4} {unit}, \
-         intercept {intercept:.2} {unit}, r2 {r_squared:.4}"
-    );
-}
-
-/// Fits a line by least squares.
-fn fit(points: &[(f64, f64)]) -> Fit {
-    let n = points.len() as f64;
-    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / n;
-    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / n;
-    let sum_xx: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-    let sum_xy: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
-    let sum_yy: f64 = points.iter().map(|(_, y)| (y - mean_y).powi(2)).sum();
-    let slope = sum_xy / sum_xx;
-    let intercept = mean_y - slope * mean_x;
-    let residual: f64 = points.iter().map(|(x, y)| (y - intercept - slope * x).powi(2)).sum();
-    let slope_error = (residual / (n - 2.0) / sum_xx).sqrt();
-    Fit { slope, slope_error, intercept, r_squared: 1.0 - residual / sum_yy }
+    println!("{name:34} x = {first} to {last}: {}", Fit::new(&points).describe(unit));
 }
 
 /// Returns the median time of a run in microseconds.
