--- a/damaskdrift/tests/peer.rs
+++ b/damaskdrift/tests/peer.rs
@@ -123,8 +123,8 @@
 
 async fn pong(instance: &Instance) -> serde_json::Value {
     let mut socket = instance.introduce().await;
-    let ping = json!({"Ping": {"revision": 0, "leaving": false, "vetoes": []}});
-    send(&mut socket, &json!({"Request": [7, ping]})).await;
+    let ping = json!({"p": {"r": 0}});
+    send(&mut socket, &json!({"q": [7, ping]})).await;
     receive(&mut socket).await.expect("a pong")
 }
 
@@ -132,7 +132,7 @@
 // without a line that tells why.
 #[rstest]
 #[case::other_version(Message::binary(encode(&hello(2))), "5001")]
-#[case::no_introduction(Message::binary(encode(&json!({"Request": [1, "Status"]}))), "5002")]
+#[case::no_introduction(Message::binary(encode(&json!({"q": [1, "Status"]}))), "5002")]
 #[case::text(Message::text("hello"), "5002")]
 #[case::no_cbor(Message::binary(vec![0xff; 8]), "5002")]
 #[case::own_name(
@@ -148,13 +148,13 @@
     receive(&mut socket).await.expect("the instance introduces itself first");
     assert_eq!(receive(&mut socket).await, None);
     instance.wait_for_log(code).await;
-    assert_eq!(pong(&instance).await["Reply"][0], 7);
+    assert_eq!(pong(&instance).await["a"][0], 7);
 }
 
 // Guards against unknown and oversized messages being ignored or stopping the instance.
 #[rstest]
-#[case::unknown(encode(&json!({"Request": [1, {"Gossip": {}}]})))]
-#[case::reply(encode(&json!({"Reply": [1, "Ack"]})))]
+#[case::unknown(encode(&json!({"q": [1, {"Gossip": {}}]})))]
+#[case::reply(encode(&json!({"a": [1, "Ack"]})))]
 #[case::oversized(vec![0; (2 << 20) + 1])]
 #[tokio::test]
 async fn a_bad_message_closes_only_its_connection(#[case] message: Vec<u8>) {
@@ -165,7 +165,7 @@
     assert!(!matches!(sent, Err(tungstenite::Error::Capacity(_))));
     assert_eq!(receive(&mut socket).await, None);
     instance.wait_for_log("5002").await;
-    assert_eq!(pong(&instance).await["Reply"][0], 7);
+    assert_eq!(pong(&instance).await["a"][0], 7);
 }
 
 // Guards against replies that carry another request's number.
@@ -175,11 +175,11 @@
     let mut socket = instance.introduce().await;
     let mut numbers = std::collections::BTreeSet::new();
     for number in [5, 3, 900] {
-        send(&mut socket, &json!({"Request": [number, "Fleet"]})).await;
+        send(&mut socket, &json!({"q": [number, "Fleet"]})).await;
     }
     for _ in 0..3 {
         let reply = receive(&mut socket).await.expect("a reply");
-        numbers.insert(reply["Reply"][0].as_u64().expect("a number"));
+        numbers.insert(reply["a"][0].as_u64().expect("a number"));
     }
     assert_eq!(numbers, [3, 5, 900].into());
 }
@@ -201,11 +201,11 @@
     let instance = Instance::start();
     let mut socket = instance.introduce().await;
     let push = |revision: u64, document: &str| json!({"FleetPush": {"revision": revision, "document": document}});
-    send(&mut socket, &json!({"Request": [1, push(5, "{}")]})).await;
-    assert_eq!(receive(&mut socket).await.expect("a reply")["Reply"][1], "Ack");
-    send(&mut socket, &json!({"Request": [2, push(revision, document)]})).await;
-    assert_eq!(receive(&mut socket).await.expect("a reply")["Reply"][1], expected);
-    send(&mut socket, &json!({"Request": [3, "Fleet"]})).await;
+    send(&mut socket, &json!({"q": [1, push(5, "{}")]})).await;
+    assert_eq!(receive(&mut socket).await.expect("a reply")["a"][1], "Ack");
+    send(&mut socket, &json!({"q": [2, push(revision, document)]})).await;
+    assert_eq!(receive(&mut socket).await.expect("a reply")["a"][1], expected);
+    send(&mut socket, &json!({"q": [3, "Fleet"]})).await;
     let reply = receive(&mut socket).await.expect("a reply");
-    assert_eq!(reply["Reply"][1]["Fleet"]["revision"], installed);
+    assert_eq!(reply["a"][1]["Fleet"]["revision"], installed);
 }
