Tell callers sooner that a result is unknown; widen the share of service limits

The static shares reserved the whole limit of a service, so one instance could use only a sixteenth of it. Change: wait at most 5 s for another attempt's result; shares come out of a quarter of a service's limit.

--- a/damaskdrift/src/caller/once.rs
+++ b/damaskdrift/src/caller/once.rs
@@ -32,6 +32,9 @@
 /// Longest wait of one look at another attempt's record; watches with longer waits would outlive
 /// the calls they serve.
 const WATCH: Millis = Millis(500);
+/// Longest wait for the result of another attempt. Its instance may be dead, and a caller with a
+/// short timeout of its own must still be told that the result is unknown.
+const RESULT_WAIT: Duration = Duration::from_secs(5);
 /// Waits between failed writes.
 const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
@@ -145,7 +148,8 @@
         mut revision: id::Revision,
     ) -> std::result::Result<Claim, Result<Answer>> {
         let mut pauses = pauses();
-        while Instant::now() < self.deadline {
+        let end = self.deadline.min(Instant::now() + RESULT_WAIT);
+        while Instant::now() < end {
             let entry = match self.cx.key_value.watch(&self.key, revision, WATCH).await {
                 Ok(Some(entry)) => entry,
                 Ok(None) => continue,
--- a/damaskdrift/src/control/slots/mod.rs
+++ b/damaskdrift/src/control/slots/mod.rs
@@ -194,7 +194,8 @@
 fn limits(kind: &fleet::Kind) -> Option<(u32, u32)> {
     match kind {
         fleet::Kind::Engine { cold_limit, warm_limit, .. } => Some((*cold_limit, *warm_limit)),
-        fleet::Kind::Service { limit, .. } => Some((*limit, *limit)),
+        // The static shares come out of a quarter of a service's limit; a service has no cold start.
+        fleet::Kind::Service { limit, .. } => Some((limit.div_ceil(4), *limit)),
         fleet::Kind::Store => None,
     }
 }
