--- a/damaskdrift/src/caller/attempts.rs
+++ b/damaskdrift/src/caller/attempts.rs
@@ -92,7 +92,7 @@
         if self.targets.is_empty() {
             return Err(code::Code::NoUpstream.into());
         }
-        let wait = Duration::from_millis(self.cx.settings.limits.queue_timeout_ms);
+        let wait = Duration::from_millis(self.cx.limits.load().queue_timeout_ms);
         let upstreams: Vec<_> = self.targets.iter().map(|target| &target.id).collect();
         let (i, slot) = slots::acquire(&self.cx, &upstreams, wait).await?;
         self.made += 1;
--- a/damaskdrift/src/caller/mod.rs
+++ b/damaskdrift/src/caller/mod.rs
@@ -52,7 +52,7 @@
 ) {
     let service = warp::service(routes(&cx));
     let mut http = http1::Builder::new();
-    let read_timeout = Duration::from_millis(cx.settings.limits.read_timeout_ms);
+    let read_timeout = Duration::from_millis(cx.limits.load().read_timeout_ms);
     http.timer(TokioTimer::new()).header_read_timeout(read_timeout);
     let connections = graceful::GracefulShutdown::new();
     let mut stop = std::pin::pin!(stop);
@@ -196,7 +196,7 @@
     cx: &context::Context,
     body: impl Stream<Item = Result<B, warp::Error>>,
 ) -> Result<Bytes, Refusal> {
-    let limits = &cx.settings.limits;
+    let limits = cx.limits.load();
     let wait = Duration::from_millis(limits.read_timeout_ms);
     request::read_body(body, limits.max_body_bytes, wait).await
 }
--- a/damaskdrift/src/context.rs
+++ b/damaskdrift/src/context.rs
@@ -23,6 +23,10 @@
 pub struct Context {
     /// Settings the instance started with.
     pub settings: settings::Settings,
+    /// Limits in force; SIGHUP replaces them.
+    pub limits: ArcSwap<settings::Limits>,
+    /// How the instance stops; SIGHUP replaces it.
+    pub drain: ArcSwap<settings::Drain>,
     /// Identifies this start of the instance.
     pub boot: id::Boot,
     /// The installed configuration; revision 0 means none.
@@ -75,6 +79,8 @@
             drive: driver::Drive::default(),
             slots: slots::Slots::new(settings.limits.fleet_max),
             upstreams: upstream::Pool::new(&settings.limits),
+            limits: ArcSwap::from_pointee(settings.limits.clone()),
+            drain: ArcSwap::from_pointee(settings.drain.clone()),
             cache: cache::Cache::default(),
             lifecycle: lifecycle::Signal::default(),
             tasks: tasks::Tasks::default(),
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -56,14 +56,19 @@
         .map_err(|message| settings::Error::Invalid { path: config.to_owned(), message })?;
     let page = metrics::init();
     let runtime = tokio::runtime::Runtime::new().map_err(Error::Runtime)?;
-    runtime.block_on(serve(settings, page))
+    runtime.block_on(serve(config, settings, page))
 }
 
-async fn serve(settings: settings::Settings, page: PrometheusHandle) -> Result<(), Error> {
+async fn serve(
+    config: &path::Path,
+    settings: settings::Settings,
+    page: PrometheusHandle,
+) -> Result<(), Error> {
     let token = settings.operators.token().map_err(Error::Token)?;
     let cx = context::Context::new(settings);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(reload(cx.clone(), config.to_owned(), signal(SignalKind::hangup())?));
     let starting = lifecycle::Lifecycle::new(&cx.lifecycle);
     let operators = listen(cx.settings.listen.operators).await?;
     let callers = listen(cx.settings.listen.callers).await?;
@@ -87,11 +92,25 @@
     Ok(())
 }
 
+/// Reads the settings again at each SIGHUP; settings with a fault leave the old ones in force.
+async fn reload(cx: Arc<context::Context>, config: path::PathBuf, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match settings::Settings::load(&config) {
+            Ok(settings) => {
+                cx.limits.store(Arc::new(settings.limits));
+                cx.drain.store(Arc::new(settings.drain));
+                log::info!("settings read again from {}", config.display());
+            }
+            Err(error) => log::error!("{error}; the old settings stay in force"),
+        }
+    }
+}
+
 /// Waits until callers are no longer accepted. The load balancer learns late that the instance is
 /// not ready, so they are accepted for some time after the order to stop.
 async fn stop_accepting(cx: Arc<context::Context>) {
     cx.lifecycle.reached(lifecycle::Phase::Draining).await;
-    tokio::time::sleep(Duration::from_millis(cx.settings.drain.accept_ms)).await;
+    tokio::time::sleep(Duration::from_millis(cx.drain.load().accept_ms)).await;
 }
 
 async fn finish(cx: &context::Context, callers: JoinHandle<()>) {
@@ -101,7 +120,7 @@
         }
         cx.tasks.finished().await;
     };
-    let Some(deadline_ms) = cx.settings.drain.deadline_ms else {
+    let Some(deadline_ms) = cx.drain.load().deadline_ms else {
         return work.await;
     };
     if tokio::time::timeout(Duration::from_millis(deadline_ms), work).await.is_err() {
--- a/damaskdrift_core/src/id.rs
+++ b/damaskdrift_core/src/id.rs
@@ -68,43 +68,24 @@
     Request
 }
 
-/// Counts writes of the key-value service; a higher one is newer.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
+macro_rules! counter {
+    ($(#[$doc:meta] $name:ident)*) => {$(
+        #[$doc]
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Display, Eq, From, Hash, Ord, PartialEq,
+            PartialOrd, Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+    )*};
+}
 
-/// Orders the holders of a lease; a higher one is newer.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct FencingToken(pub u64);
+counter! {
+    /// Counts writes of the key-value service; a higher one is newer.
+    Revision
+    /// Orders the holders of a lease; a higher one is newer.
+    FencingToken
+}
 
 fn is_valid(text: &str) -> bool {
     let is_allowed = |b: u8| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.');
--- a/damaskdrift_lab/tests/at_most_once.rs
+++ b/damaskdrift_lab/tests/at_most_once.rs
@@ -108,24 +108,44 @@
     assert!(runs(&fleet).await.values().all(|count| *count == 1));
 }
 
-// Guards against a false not-run, or a second run, after the instance that sent the call is gone.
-#[tokio::test]
-async fn call_of_a_killed_instance_is_unknown() {
-    let mut fleet =
-        builder().with_service_args(&["--delay-ms", "1000"]).start().await.expect("a fleet");
-    let (http, call) = (fleet.http.clone(), lodge(&fleet, 0, "k1", "notice"));
+/// Kills the first instance while a service runs its call.
+async fn kill_in_call(fleet: &mut Fleet, key: &str) {
+    let (http, call) = (fleet.http.clone(), lodge(fleet, 0, key, "notice"));
     let call = tokio::spawn(async move { http.send(call).await });
-    while runs(&fleet).await.is_empty() {
+    while runs(fleet).await.is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     fleet.instances[0].process.kill().expect("the instance is killed");
     assert!(call.await.expect("the task ends").is_err());
+}
+
+// Guards against a false not-run, or a second run, after the instance that sent the call is gone.
+#[tokio::test]
+async fn call_of_a_killed_instance_is_unknown() {
+    let mut fleet =
+        builder().with_service_args(&["--delay-ms", "1000"]).start().await.expect("a fleet");
+    kill_in_call(&mut fleet, "k1").await;
     let again = fleet.http.send(lodge(&fleet, 1, "k1", "notice")).await.expect("an answer");
     let error: Value = again.json().expect("an error is JSON");
     assert_eq!((again.status, &error["error"]["outcome"]), (409, &json!("unknown")));
     assert_eq!(runs(&fleet).await["k1"], 1);
 }
 
+// Guards against a caller that is never told that the result is unknown, because the instance waits
+// longer for a dead one's result than the caller waits for an answer.
+#[tokio::test]
+async fn a_repeat_is_told_unknown_before_a_short_timeout() {
+    let mut fleet = builder()
+        .with_setting("limits", "upstream_timeout_ms", 30_000)
+        .with_service_args(&["--delay-ms", "1000"])
+        .start()
+        .await
+        .expect("a fleet");
+    kill_in_call(&mut fleet, "k1").await;
+    let again = lodge(&fleet, 1, "k1", "notice").with_timeout(Duration::from_secs(10));
+    assert_eq!(send(&fleet, again).await, Outcome::Refused("unknown".to_owned()));
+}
+
 // Guards against a not-run about a call that lost its answer at one upstream and could not connect to
 // the next.
 #[tokio::test]
