--- a/damaskdrift/src/control/slots/mod.rs
+++ b/damaskdrift/src/control/slots/mod.rs
@@ -131,11 +131,6 @@
     granted.ok_or(code::Code::Overloaded)
 }
 
-/// Returns the free slots of this instance at an upstream.
-pub fn available(cx: &context::Context, upstream: &id::Upstream) -> u32 {
-    cx.slots.holder().available(upstream, cx.now())
-}
-
 /// Notes that an upstream completed an answer under a boot id.
 pub fn completed(cx: &context::Context, upstream: &id::Upstream, boot: &id::Boot) {
     cx.slots.holder().complete(upstream, boot);
@@ -151,13 +146,6 @@
     cx.slots.wanted.notify_one();
 }
 
-/// Notes that an upstream slowed down sharply, so that its owner falls back to the cold limit.
-pub fn slowed(cx: &context::Context, upstream: &id::Upstream) {
-    log::warn!(upstream:%; "upstream slowed down sharply; its limit falls back");
-    cx.slots.holder().trouble(upstream);
-    cx.slots.wanted.notify_one();
-}
-
 fn future_set<'a>(
     cx: &'a sync::Arc<context::Context>,
     upstreams: &[&'a id::Upstream],
--- a/damaskdrift/src/main.rs
+++ b/damaskdrift/src/main.rs
@@ -1,7 +1,5 @@
 //! Entry instance between callers and model-serving upstreams.
 
-#![expect(dead_code, reason = "the parts of an instance are added one by one")]
-
 mod backoff;
 mod caller;
 mod cli;
--- a/damaskdrift_core/src/admission/holder.rs
+++ b/damaskdrift_core/src/admission/holder.rs
@@ -47,8 +47,6 @@
     pub wanted: u32,
     /// Answers completed since the last demand.
     pub completed: u32,
-    /// Whether the upstream gave trouble since the last demand.
-    pub trouble: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -62,7 +60,6 @@
     waiting: u32,
     peak: u32,
     completed: u32,
-    trouble: bool,
     last_used: Option<Millis>,
 }
 
@@ -129,20 +126,6 @@
         entry.last_used = Some(now);
     }
 
-    /// Returns the free slots at an upstream.
-    pub fn available(&self, upstream: &id::Upstream, now: Millis) -> u32 {
-        let Some(entry) = self.entries.get(upstream) else {
-            return 0;
-        };
-        let has_owner = !self.without_owner.contains(&admission::group(upstream));
-        (entry.static_share + entry.allotted(has_owner, now)).saturating_sub(entry.in_flight)
-    }
-
-    /// Returns whether the last allotment said that the upstream is warm.
-    pub fn is_warm(&self, upstream: &id::Upstream) -> bool {
-        self.entries.get(upstream).is_some_and(|entry| entry.is_warm)
-    }
-
     /// Counts a completed answer.
     pub fn complete(&mut self, upstream: &id::Upstream, boot: &id::Boot) {
         let Some(entry) = self.entries.get_mut(upstream) else {
@@ -160,14 +143,6 @@
         }
     }
 
-    /// Drops the allotment of an upstream that slowed down sharply, and tells its owner.
-    pub fn trouble(&mut self, upstream: &id::Upstream) {
-        if let Some(entry) = self.entries.get_mut(upstream) {
-            entry.drop_allotment();
-            entry.trouble = true;
-        }
-    }
-
     /// Drops all allotments, after a pause of the process.
     pub fn drop_all(&mut self) {
         for entry in self.entries.values_mut() {
@@ -185,7 +160,6 @@
             }
             demands.push(entry.demand(upstream, has_owner, now));
             entry.completed = 0;
-            entry.trouble = false;
             entry.peak = entry.in_flight;
         }
         demands
@@ -245,7 +219,7 @@
 
     fn is_in_use(&self, now: Millis) -> bool {
         let is_recent = self.last_used.is_some_and(|used| now.since(used) < IDLE_LIFE);
-        self.in_flight > 0 || self.waiting > 0 || self.trouble || is_recent
+        self.in_flight > 0 || self.waiting > 0 || is_recent
     }
 
     fn demand(&self, upstream: &id::Upstream, has_owner: bool, now: Millis) -> Demand {
@@ -262,7 +236,6 @@
             holding: self.allotted(has_owner, now),
             wanted: wanted.saturating_sub(self.static_share),
             completed: self.completed,
-            trouble: self.trouble,
         }
     }
 
--- a/damaskdrift_core/src/admission/owner.rs
+++ b/damaskdrift_core/src/admission/owner.rs
@@ -162,13 +162,6 @@
         ledger.explain(load, taken);
     }
 
-    /// Notes that an upstream broke a connection or slowed down sharply.
-    pub fn trouble(&mut self, upstream: &id::Upstream) {
-        if let Some(ledger) = self.ledgers.get_mut(upstream) {
-            ledger.limit.reset();
-        }
-    }
-
     /// Answers a demand of a member that was sent no later than `now`.
     pub fn grant(
         &mut self,
@@ -180,9 +173,6 @@
             || now.since(self.taken) >= admission::REQUEST_LIFE + admission::ALLOTMENT_LIFE;
         let fleet_max = self.fleet_max;
         let ledger = self.ledgers.get_mut(&demand.upstream)?;
-        if demand.trouble {
-            ledger.limit.reset();
-        }
         ledger.drop_finished(now);
         if is_known {
             ledger.settle(0);
