--- a/damaskdrift/src/operator/command/mod.rs
+++ b/damaskdrift/src/operator/command/mod.rs
@@ -46,6 +46,7 @@
     template::SHOW,
     template::APPLY,
     template::HISTORY,
+    template::HASH_KEY,
     domain::OUT,
     domain::IN,
     domain::STATUS,
--- a/damaskdrift/src/operator/command/template.rs
+++ b/damaskdrift/src/operator/command/template.rs
@@ -1,5 +1,6 @@
 //! Commands `template show`, `template apply` and `template history`.
 
+use std::io;
 use std::path;
 
 use damaskdrift_core::fleet;
@@ -58,6 +59,20 @@
     run: history,
 };
 
+pub const HASH_KEY: Command = Command {
+    name: "template hash-key",
+    help: "\
+Print the key_hash of a workspace for the bearer key on standard input
+
+Usage: damaskdrift template hash-key < FILE
+
+The key itself is not sent or stored anywhere.
+",
+    arguments: &[],
+    options: &[],
+    run: hash_key,
+};
+
 fn show(options: &Options) -> Result<Output, Error> {
     let client = options.client()?;
     let mut fleet = client.fleet()?;
@@ -114,6 +129,18 @@
     Ok(Output::new(answer, text))
 }
 
+fn hash_key(_options: &Options) -> Result<Output, Error> {
+    let key = io::read_to_string(io::stdin())
+        .map_err(|source| Error::File { path: path::PathBuf::from("standard input"), source })?;
+    let key = key.trim();
+    if key.is_empty() {
+        return Err(Error::Usage("standard input holds no key".to_owned()));
+    }
+    let hash = fleet::KeyHash::new(key).to_string();
+    let text = format!("{hash}\n");
+    Ok(Output::new(serde_json::json!({"key_hash": hash}), text))
+}
+
 /// Formats a time in UTC; one outside the calendar stays in milliseconds since 1970.
 fn date(at: UnixMillis) -> String {
     let millis = i64::try_from(at.0).unwrap_or(i64::MAX);
--- a/damaskdrift_core/src/fleet/snapshot.rs
+++ b/damaskdrift_core/src/fleet/snapshot.rs
@@ -1,6 +1,7 @@
 //! An installed fleet document with what is derived from it.
 
 use std::collections;
+use std::fmt;
 
 use crate::fleet;
 use crate::id;
@@ -34,6 +35,12 @@
     }
 }
 
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", blake3::Hash::from(self.0))
+    }
+}
+
 impl Snapshot {
     /// Resolves a document.
     ///
--- a/damaskdrift_lab/tests/operators.rs
+++ b/damaskdrift_lab/tests/operators.rs
@@ -1,6 +1,7 @@
 //! Tests of the operators' commands and listener with real processes.
 
-use std::process::{Command, Output};
+use std::io::Write as _;
+use std::process::{Command, Output, Stdio};
 
 use damaskdrift_lab::harness::fleet::{KEY, MODEL, WORKSPACE};
 use damaskdrift_lab::harness::instance::OPERATOR_TOKEN;
@@ -155,3 +156,22 @@
     let plot = std::fs::read_to_string(path).expect("the plot was written");
     assert!(plot.contains("polyline") && plot.contains("notices availability"), "{plot}");
 }
+
+// Guards against a printed hash that a workspace's key does not match, and against an empty key.
+#[rstest]
+#[case::key("mill-key\n", Some("mill-key"))]
+#[case::empty("\n", None)]
+fn hash_key_prints_what_the_document_needs(#[case] input: &str, #[case] key: Option<&str>) {
+    let binary = binary::find(binary::DAMASKDRIFT).unwrap();
+    let mut child = Command::new(binary)
+        .args(["template", "hash-key"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
+    let output = child.wait_with_output().unwrap();
+    let want = key.map(|key| format!("{}\n", blake3::hash(key.as_bytes()).to_hex()));
+    assert_eq!(output.status.success(), key.is_some());
+    assert_eq!(String::from_utf8_lossy(&output.stdout), want.unwrap_or_default());
+}
