Serve the users' platform: request path, adapter and deploy file

Adds the path for a platform that stores the configuration and lists the upstreams: core decisions (routing, balance, kept parts, weights, share of repeats, trust), the tasks around them in damaskdrift::entry, and the adapter in platform/. The binary becomes a library with a thin main.

--- /dev/null
+++ b/damaskdrift/src/entry/directory.rs
@@ -0,0 +1,240 @@
+//! Follows the platform's store: configuration, upstreams, instances and duties.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use damaskdrift_core::balance;
+use damaskdrift_core::id;
+use damaskdrift_core::routing;
+use damaskdrift_core::time::Millis;
+
+use crate::entry::clock;
+use crate::entry::port;
+use crate::entry::state;
+
+/// How long a watch waits without a change. Its end confirms the configuration, so it bounds how
+/// late silence of the store is noticed.
+const WATCH_WAIT: Millis = Millis(1_000);
+/// Least time between two watches; changes that come in quick succession share a call.
+const WATCH_PACE: Duration = Duration::from_millis(60);
+/// Pauses after a failed call of the store, doubled up to the longer one.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
+/// Time after the store's return in which a live upstream whose entry lapsed registers again.
+const REGISTER_AGAIN: Millis = Millis(2_000);
+
+/// What is known of the store's reachability.
+struct Link {
+    is_up: bool,
+    restored: Millis,
+    /// Upstreams whose entries lapsed with the store, and when they count as gone.
+    lapsed: BTreeMap<id::Upstream, Millis>,
+}
+
+/// Follows the store until the process ends.
+pub async fn run(entry: Rc<state::Entry>) {
+    let mut link = Link { is_up: true, restored: Millis(0), lapsed: BTreeMap::new() };
+    let mut pause = RETRY_PAUSE.0;
+    loop {
+        let asked = clock::now();
+        match entry.port.list().await {
+            Ok(batch) => {
+                link.set_up(true, "list");
+                pause = RETRY_PAUSE.0;
+                let revision = batch.revision;
+                let present = apply(&entry, &mut link, batch.changes);
+                retain(&entry, &mut link, &present);
+                confirm(&entry, asked);
+                follow(&entry, &mut link, revision).await;
+            }
+            Err(error) => {
+                link.set_up(false, &error.to_string());
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSE.1);
+            }
+        }
+    }
+}
+
+/// Watches the store from a revision on until a call fails.
+async fn follow(entry: &Rc<state::Entry>, link: &mut Link, mut revision: u64) {
+    loop {
+        let asked = clock::now();
+        match entry.port.watch(revision, WATCH_WAIT).await {
+            Ok(batch) => {
+                let is_change = !batch.changes.is_empty();
+                revision = revision.max(batch.revision);
+                apply(entry, link, batch.changes);
+                confirm(entry, asked);
+                link.expire(entry);
+                if is_change {
+                    tokio::time::sleep(WATCH_PACE).await;
+                }
+            }
+            Err(port::StoreError::HistoryLost) => {
+                log::info!(revision; "the store has dropped its history; reading everything again");
+                return;
+            }
+            Err(error) => {
+                // A cut watch alone does not show that the store is away: the list tells.
+                log::info!(cause:% = error; "watch of the store ended");
+                return;
+            }
+        }
+    }
+}
+
+fn confirm(entry: &state::Entry, asked: Millis) {
+    entry.confirmed.set(Some(entry.confirmed.get().map_or(asked, |before| before.max(asked))));
+}
+
+/// What a full read of the store listed.
+#[derive(Default)]
+struct Present {
+    upstreams: BTreeSet<id::Upstream>,
+    instances: BTreeSet<id::Instance>,
+    out: BTreeSet<id::FailureDomain>,
+    has_duty: bool,
+}
+
+fn apply(entry: &state::Entry, link: &mut Link, changes: Vec<port::Change>) -> Present {
+    let mut present = Present::default();
+    for change in changes {
+        match change {
+            port::Change::Config(document) => install(entry, *document),
+            port::Change::Upstream(record) => {
+                present.upstreams.insert(record.id.clone());
+                link.lapsed.remove(&record.id);
+                install_upstream(entry, record);
+            }
+            port::Change::UpstreamGone(id) => link.remove(entry, id),
+            port::Change::Weights(weights) => name_weights(entry, weights),
+            port::Change::DomainOut(domain, is_out) => {
+                log::info!(domain:%, is_out; "failure domain changed by operators");
+                let mut out = entry.out.borrow_mut();
+                if is_out {
+                    present.out.insert(domain.clone());
+                    out.insert(domain);
+                } else {
+                    out.remove(&domain);
+                }
+            }
+            port::Change::Instance(instance, is_registered) => {
+                log::info!(instance:%, is_registered; "instance changed");
+                if is_registered {
+                    present.instances.insert(instance.clone());
+                }
+                entry.set_instance(instance, is_registered);
+            }
+            port::Change::Duty(holder) => {
+                log::info!(holder:? = holder.as_ref().map(|(id, fence)| (id.as_str(), fence.0)); "duty changed");
+                present.has_duty = holder.is_some();
+                *entry.duty.borrow_mut() = holder;
+            }
+            port::Change::Unreadable(key, reason) => {
+                metrics::counter!("entries_unreadable").increment(1);
+                log::warn!(key, reason; "entry of the store skipped");
+            }
+        }
+    }
+    present
+}
+
+/// Drops what a full read of the store no longer listed.
+fn retain(entry: &state::Entry, link: &mut Link, present: &Present) {
+    let known = entry.upstreams.borrow().ids();
+    for id in known {
+        if !present.upstreams.contains(&id) {
+            link.remove(entry, id);
+        }
+    }
+    entry.set_instances(&present.instances);
+    entry.out.borrow_mut().retain(|domain| present.out.contains(domain));
+    if !present.has_duty {
+        *entry.duty.borrow_mut() = None;
+    }
+}
+
+fn install(entry: &state::Entry, document: routing::Document) {
+    let version = document.version;
+    let before = entry.table.borrow().as_ref().map(|table| table.version);
+    if before.is_some_and(|before| version <= before) {
+        return;
+    }
+    entry.stores.borrow_mut().install(&document.stores);
+    *entry.table.borrow_mut() = Some(Rc::new(routing::Table::new(document)));
+    log::info!(version, before:?; "configuration installed");
+}
+
+fn install_upstream(entry: &state::Entry, record: balance::Record) {
+    let table = entry.table.borrow();
+    let service = table.as_ref().and_then(|table| table.service(&record.service));
+    // Upstreams found at the start of this instance were mostly there before.
+    let span = match entry.confirmed.get() {
+        Some(_) => service.map_or(Millis(0), |service| service.cold.span),
+        None => Millis(0),
+    };
+    let mut upstreams = entry.upstreams.borrow_mut();
+    let before = upstreams.get(&record.id).map(|u| (u.record.is_leaving, u.record.born));
+    if before != Some((record.is_leaving, record.born)) {
+        log::info!(
+            upstream:% = record.id, service:% = record.service, address:% = record.address,
+            is_leaving = record.is_leaving, cold_ms = record.cold_for.0;
+            "upstream listed"
+        );
+    }
+    upstreams.install(record, span, clock::now());
+}
+
+fn name_weights(entry: &state::Entry, weights: balance::Weights) {
+    let mut named = entry.named.borrow_mut();
+    let newest = named.entry(weights.model.clone()).or_insert((0, Millis(0)));
+    if weights.version > newest.0 {
+        log::info!(model:% = weights.model, version = weights.version; "new weights named");
+        *newest = (weights.version, clock::now());
+    }
+}
+
+impl Link {
+    fn set_up(&mut self, is_up: bool, cause: &str) {
+        if self.is_up == is_up {
+            return;
+        }
+        self.is_up = is_up;
+        if is_up {
+            self.restored = clock::now();
+            log::info!("the platform's store is reached again");
+        } else {
+            log::warn!(cause; "the platform's store cannot be reached");
+        }
+    }
+
+    /// Takes an upstream off whose entry is gone. Entries that lapsed while the store was away
+    /// stay in use for the time in which live upstreams register again.
+    fn remove(&mut self, entry: &state::Entry, id: id::Upstream) {
+        let until = self.restored + REGISTER_AGAIN;
+        if self.restored > Millis(0) && clock::now() < until {
+            log::info!(upstream:% = id; "entry lapsed with the store");
+            self.lapsed.entry(id).or_insert(until);
+        } else if entry.upstreams.borrow_mut().remove(&id) {
+            log::info!(upstream:% = id; "upstream gone");
+        }
+    }
+
+    /// Takes off the upstreams that did not register again in time.
+    fn expire(&mut self, entry: &state::Entry) {
+        let now = clock::now();
+        let due: Vec<_> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.lapsed.remove(&id);
+            if entry.upstreams.borrow_mut().remove(&id) {
+                log::info!(upstream:% = id; "upstream did not register again");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/damaskdrift/src/entry/mod.rs
@@ -0,0 +1,24 @@
+//! Entry instance on a platform that stores its configuration and lists its upstreams.
+//!
+//! Everything here runs on one thread. A [`port::Port`] translates the platform's protocols.
+
+pub mod client;
+mod clock;
+mod directory;
+mod duty;
+pub mod forward;
+mod listener;
+mod observe;
+mod pool;
+pub mod port;
+mod refusal;
+mod relay;
+mod retry;
+mod run;
+mod settings;
+mod state;
+mod stores;
+mod weights;
+
+pub use run::{Error, run};
+pub use settings::Settings;
--- /dev/null
+++ b/damaskdrift/src/entry/settings.rs
@@ -0,0 +1,34 @@
+//! Settings of an entry instance.
+
+use std::net;
+
+use damaskdrift_core::id;
+use damaskdrift_core::retry;
+use damaskdrift_core::time::Millis;
+
+/// Settings of an entry instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: id::Instance,
+    /// Failure domain of the instance.
+    pub domain: id::FailureDomain,
+    /// Address for callers.
+    pub callers: net::SocketAddr,
+    /// Address for the platform's readiness checks.
+    pub readiness: net::SocketAddr,
+    /// Address that serves metrics.
+    pub metrics: net::SocketAddr,
+    /// Time after the acknowledged change of the configuration in which a removed key may be used.
+    pub revocation: Millis,
+    /// Bound on repeated sends, for all instances together.
+    pub repeats: retry::Bound,
+    /// Time that a stopping instance has until it is killed.
+    pub grace: Millis,
+    /// Time after which requests on older weights than the newest named must not begin.
+    pub version_limit: Millis,
+    /// Least time between the orders of two holders of a duty.
+    pub turn: Millis,
+    /// Least life of a lease at the platform's store.
+    pub shortest_lease: Millis,
+}
--- a/damaskdrift/src/logging.rs
+++ b/damaskdrift/src/logging.rs
@@ -1,6 +1,7 @@
 //! Log set-up.
 
 use logforth::append;
+use logforth::append::asynchronous;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout;
 use logforth::starter_log;
@@ -29,3 +30,32 @@
         .try_apply()
         .map_err(|error| format!("log: {error}"))
 }
+
+/// Lines that wait to be written; further ones are dropped, so that logging never blocks.
+const QUEUED_LINES: usize = 2_048;
+
+/// Starts logging as JSON to standard output through a bounded queue.
+///
+/// # Errors
+///
+/// Returns why logging cannot be started.
+pub fn init_queued() -> Result<(), String> {
+    let filter = RustLogFilterBuilder::try_from_spec("info")
+        .map_err(|error| format!("log filter: {error}"))?
+        .build();
+    let stdout = append::Stdout::default().with_layout(layout::JsonLayout::default());
+    let append = asynchronous::AsyncBuilder::new("logs")
+        .append(stdout)
+        .buffered_lines_limit(Some(QUEUED_LINES))
+        .overflow_drop_incoming()
+        .build();
+    starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(append))
+        .try_apply()
+        .map_err(|error| format!("log: {error}"))
+}
+
+/// Writes the lines that wait.
+pub fn flush() {
+    log::logger().flush();
+}
--- a/damaskdrift/src/main.rs
+++ b/damaskdrift/src/main.rs
@@ -1,21 +1,9 @@
 //! Entry instance between callers and model-serving upstreams.
 
-mod backoff;
-mod caller;
-mod cli;
-mod context;
-mod control;
-mod logging;
-mod metrics;
-mod operator;
-mod peer;
-mod platform;
-mod serve;
-mod settings;
-mod upstream;
-
 use std::process;
 
+use damaskdrift::cli;
+
 fn main() -> process::ExitCode {
     match cli::run() {
         Ok(code) => code,
--- /dev/null
+++ b/damaskdrift_core/src/balance/mod.rs
@@ -0,0 +1,9 @@
+//! Chooses the upstream of a request from what one instance knows.
+
+mod choice;
+mod condition;
+mod upstream;
+
+pub use choice::{Need, Unavailable, View};
+pub use condition::{Condition, Verdict};
+pub use upstream::{Record, Sent, Upstream, Upstreams, Weights};
--- /dev/null
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -0,0 +1,223 @@
+//! What one instance knows of each upstream.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net;
+use std::sync::Arc;
+
+use crate::balance::condition;
+use crate::id;
+use crate::time::Millis;
+
+/// Window over which requests to a cold upstream are counted. It is longer than the second for
+/// which a cold rate holds, because requests travel for a varying time.
+const COLD_WINDOW: Millis = Millis(1_100);
+/// Shared parts of a prompt that an instance remembers for each upstream.
+const REMEMBERED_PARTS: usize = 256;
+
+/// The weights of a model that an upstream runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Weights {
+    /// The model.
+    pub model: id::Model,
+    /// Version of its weights.
+    pub version: u64,
+}
+
+/// An upstream as discovery lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// The upstream.
+    pub id: id::Upstream,
+    /// The service it belongs to.
+    pub service: id::Service,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// The failure domain it stands in.
+    pub domain: id::FailureDomain,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+    /// How much longer it is cold, counted from when the record was written.
+    pub cold_for: Millis,
+    /// Unix time of its start; tells two starts under one id apart.
+    pub born: Option<u64>,
+    /// Weights of each model it serves.
+    pub weights: Vec<Weights>,
+    /// Orders that it has accepted since its start.
+    pub order_sequence: u64,
+}
+
+/// A request that an upstream has not finished.
+#[derive(Debug)]
+pub struct Sent {
+    /// Prompt tokens that the request holds or will hold.
+    pub tokens: u64,
+    /// Prompt tokens that it had to read when it was sent.
+    pub unread: u64,
+}
+
+/// An upstream, and what this instance does there.
+#[derive(Debug)]
+pub struct Upstream {
+    /// What discovery lists.
+    pub record: Record,
+    /// How well it answers.
+    pub condition: condition::Condition,
+    /// Requests of this instance that it has not finished.
+    pub in_flight: u32,
+    /// Tokens of these requests.
+    pub tokens: u64,
+    /// Tokens of these requests that were still to be read when they were sent, for those
+    /// without a first event.
+    pub unread: u64,
+    /// Until when requests avoid it, because it refused one as full or while it loads weights.
+    pub avoid_until: Millis,
+    cold_until: Millis,
+    cold_sends: VecDeque<Millis>,
+    parts: HashMap<(Arc<str>, u64), Millis>,
+}
+
+/// All upstreams that an instance knows.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    all: BTreeMap<id::Upstream, Upstream>,
+}
+
+impl Upstream {
+    fn new(record: Record, cold_until: Millis) -> Self {
+        Self {
+            record,
+            condition: condition::Condition::default(),
+            in_flight: 0,
+            tokens: 0,
+            unread: 0,
+            avoid_until: Millis(0),
+            cold_until,
+            cold_sends: VecDeque::new(),
+            parts: HashMap::new(),
+        }
+    }
+
+    /// Returns the version of a model's weights.
+    pub fn version(&self, model: &id::Model) -> Option<u64> {
+        self.record.weights.iter().find(|w| w.model == *model).map(|w| w.version)
+    }
+
+    /// Returns whether the upstream is in a cold start.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns how many requests this instance sent to it while it was cold, in the last window.
+    pub fn cold_sends(&self, now: Millis) -> usize {
+        self.cold_sends.iter().filter(|at| now.since(**at) < COLD_WINDOW).count()
+    }
+
+    /// Returns whether this instance sent the part of a prompt there, under the same salt.
+    pub fn remembers(&self, salt: &Arc<str>, part: u64) -> bool {
+        self.parts.contains_key(&(salt.clone(), part))
+    }
+
+    /// Notes that a request was sent.
+    pub fn start(&mut self, sent: &Sent, now: Millis) {
+        self.in_flight += 1;
+        self.tokens += sent.tokens;
+        self.unread += sent.unread;
+        while self.cold_sends.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW) {
+            self.cold_sends.pop_front();
+        }
+        // Kept for warm upstreams too: one may turn out to have become cold a moment ago.
+        self.cold_sends.push_back(now);
+    }
+
+    /// Notes that a request's prompt was read.
+    pub fn read(&mut self, sent: &mut Sent) {
+        self.unread = self.unread.saturating_sub(std::mem::take(&mut sent.unread));
+    }
+
+    /// Notes that a request has ended.
+    pub fn end(&mut self, sent: &mut Sent) {
+        self.read(sent);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(std::mem::take(&mut sent.tokens));
+    }
+
+    /// Notes that the upstream has read a part of a prompt.
+    pub fn remember(&mut self, salt: &Arc<str>, part: u64, now: Millis) {
+        if self.parts.len() >= REMEMBERED_PARTS {
+            let oldest = self.parts.iter().min_by_key(|(_, at)| **at).map(|(key, _)| key.clone());
+            if let Some(key) = oldest {
+                self.parts.remove(&key);
+            }
+        }
+        self.parts.insert((salt.clone(), part), now);
+    }
+
+    /// Returns when the newest request was sent that needed this part.
+    pub fn remembered_at(&self, salt: &Arc<str>, part: u64) -> Option<Millis> {
+        self.parts.get(&(salt.clone(), part)).copied()
+    }
+
+    /// Sets a model's version to one that the upstream itself showed.
+    pub fn set_version(&mut self, model: &id::Model, version: u64) {
+        for weights in &mut self.record.weights {
+            if weights.model == *model {
+                weights.version = version;
+            }
+        }
+    }
+}
+
+impl Upstreams {
+    /// Installs a record. An upstream whose start is new counts as cold for `cold_span`, unless
+    /// its record says how long it is cold; `cold_span` is zero for upstreams that were there
+    /// before this instance.
+    pub fn install(&mut self, record: Record, cold_span: Millis, now: Millis) {
+        let known = self.all.get_mut(&record.id);
+        let reported = now + record.cold_for;
+        match known {
+            Some(known) if known.record.born == record.born => {
+                if record.cold_for > Millis(0) {
+                    known.cold_until = known.cold_until.max(reported);
+                }
+                // A list lags behind what the upstream itself showed: versions only rise.
+                let mut record = record;
+                for weights in &mut record.weights {
+                    let shown = known.version(&weights.model).unwrap_or(0);
+                    weights.version = weights.version.max(shown);
+                }
+                known.record = record;
+            }
+            _ => {
+                let cold_until = reported.max(now + cold_span);
+                self.all.insert(record.id.clone(), Upstream::new(record, cold_until));
+            }
+        }
+    }
+
+    /// Removes an upstream that is gone.
+    pub fn remove(&mut self, id: &id::Upstream) -> bool {
+        self.all.remove(id).is_some()
+    }
+
+    /// Returns an upstream.
+    pub fn get(&self, id: &id::Upstream) -> Option<&Upstream> {
+        self.all.get(id)
+    }
+
+    /// Returns an upstream for changes.
+    pub fn get_mut(&mut self, id: &id::Upstream) -> Option<&mut Upstream> {
+        self.all.get_mut(id)
+    }
+
+    /// Iterates over all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+        self.all.values()
+    }
+
+    /// Returns the ids of all upstreams.
+    pub fn ids(&self) -> Vec<id::Upstream> {
+        self.all.keys().cloned().collect()
+    }
+}
--- a/damaskdrift_core/src/config_sync/mod.rs
+++ b/damaskdrift_core/src/config_sync/mod.rs
@@ -3,9 +3,11 @@
 mod freshness;
 mod propagation;
 mod state;
+mod trust;
 mod watch;
 
 pub use freshness::{Freshness, StopReason};
 pub use propagation::{CLAIM_MARGIN, CLAIM_SLACK, Claim, ClaimReason, Propagation};
 pub use state::{Offer, PeerReport, Reading, State};
+pub use trust::{Trust, trust};
 pub use watch::{WATCHERS_PER_DOMAIN, watchers};
--- /dev/null
+++ b/damaskdrift_core/src/config_sync/trust.rs
@@ -0,0 +1,37 @@
+//! How far an instance may rely on its configuration by the age of its last confirmation.
+
+use crate::time::Millis;
+
+/// Part of the bound on revoked keys that is left for the way of a request to its upstream and
+/// for the precision of timers.
+const SEND_MARGIN: Millis = Millis(600);
+/// Part of the bound after which an instance asks to get no new connections. It lies before the
+/// point at which keyed requests are refused, so that callers go elsewhere in time.
+const READY_SHARE: f64 = 0.6;
+
+/// How far an instance may rely on its configuration.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Trust {
+    /// Keys may have been revoked without this instance knowing; it sends no keyed request.
+    Expired,
+    /// Requests are served, and the instance reports that it is not ready.
+    Aging,
+    /// The configuration is confirmed.
+    Fresh,
+}
+
+/// Returns how far a configuration may be relied on. `confirmed` and `now` are on a clock that
+/// counts the time in which the machine was suspended.
+pub fn trust(confirmed: Option<Millis>, revocation: Millis, now: Millis) -> Trust {
+    let Some(confirmed) = confirmed else {
+        return Trust::Expired;
+    };
+    let age = now.since(confirmed);
+    if age >= revocation - SEND_MARGIN {
+        Trust::Expired
+    } else if age.0 as f64 >= revocation.0 as f64 * READY_SHARE {
+        Trust::Aging
+    } else {
+        Trust::Fresh
+    }
+}
--- /dev/null
+++ b/damaskdrift_core/src/kept/contents.rs
@@ -0,0 +1,129 @@
+//! What one store holds, from its events.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::time::Millis;
+
+/// Age of the last answer of a store above which nothing is fetched from it or saved to it.
+pub const TRUST: Millis = Millis(1_000);
+/// Span after a restart in which nothing is saved to a store. By its end each instance has
+/// either seen the restart or stopped to trust what it knows, so none fetches a part under its
+/// old entry while the part is written anew.
+pub const SETTLE: Millis = Millis(1_500);
+/// Time after which a save that no event confirmed may be tried again.
+const SAVE_TIMEOUT: Millis = Millis(6_000);
+
+/// A change at a store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Whether the part was stored; otherwise it was dropped.
+    pub is_stored: bool,
+    /// The salt it is kept under.
+    pub salt: String,
+    /// The part.
+    pub part: u64,
+    /// Tokens of it that are now held.
+    pub tokens: u64,
+}
+
+/// A store's answer to a question for its events.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Page {
+    /// Identifies the start of the store.
+    pub epoch: u64,
+    /// Where the next question begins.
+    pub next: u64,
+    /// Whether events between the last page and this one are lost.
+    pub is_gap: bool,
+    /// Whether the page lists all that is held instead of changes.
+    pub is_list: bool,
+    /// Events or parts, in order.
+    pub events: Vec<Event>,
+    /// The clock of upstreams and stores, in milliseconds, if the answer gave it.
+    pub clock_ms: Option<u64>,
+}
+
+/// What one store holds.
+#[derive(Debug, Default)]
+pub struct Contents {
+    epoch: Option<u64>,
+    /// Where the next question for events begins.
+    pub next: u64,
+    whole: HashMap<Arc<str>, HashMap<u64, u64>>,
+    used: u64,
+    saving: HashMap<(Arc<str>, u64), Millis>,
+    confirmed: Option<Millis>,
+    settled: Millis,
+}
+
+impl Contents {
+    /// Takes an answer into account that was asked for at `asked`. Returns whether the store has
+    /// restarted.
+    pub fn update(&mut self, page: &Page, asked: Millis, now: Millis) -> bool {
+        let is_restart = self.epoch != Some(page.epoch);
+        if is_restart {
+            let was_known = self.epoch.is_some();
+            *self = Self { epoch: Some(page.epoch), ..Self::default() };
+            if was_known {
+                self.settled = now + SETTLE;
+            }
+        }
+        if page.is_list {
+            self.whole.clear();
+            self.used = 0;
+        }
+        for event in &page.events {
+            self.apply(event);
+        }
+        self.next = page.next;
+        self.confirmed = Some(asked);
+        is_restart
+    }
+
+    fn apply(&mut self, event: &Event) {
+        let salt: Arc<str> = Arc::from(event.salt.as_str());
+        self.saving.remove(&(salt.clone(), event.part));
+        let parts = self.whole.entry(salt).or_default();
+        let before = parts.remove(&event.part).unwrap_or(0);
+        self.used = self.used.saturating_sub(before);
+        if event.is_stored {
+            parts.insert(event.part, event.tokens);
+            self.used += event.tokens;
+        }
+    }
+
+    /// Returns whether the store answered lately enough to act on what is known of it.
+    pub fn is_trusted(&self, now: Millis) -> bool {
+        self.confirmed.is_some_and(|at| now.since(at) <= TRUST)
+    }
+
+    /// Returns whether the store holds the whole part.
+    pub fn holds(&self, salt: &str, part: u64, tokens: u64, now: Millis) -> bool {
+        self.is_trusted(now)
+            && self.whole.get(salt).and_then(|parts| parts.get(&part)).is_some_and(|t| *t >= tokens)
+    }
+
+    /// Returns whether this instance may save the part, and notes that it does.
+    pub fn begin_save(&mut self, salt: &Arc<str>, part: u64, room: u64, now: Millis) -> bool {
+        if !self.is_trusted(now) || now < self.settled || self.used >= room {
+            return false;
+        }
+        let key = (salt.clone(), part);
+        if self.saving.get(&key).is_some_and(|at| now.since(*at) < SAVE_TIMEOUT) {
+            return false;
+        }
+        self.saving.insert(key, now);
+        true
+    }
+
+    /// Returns the start of the store that the contents belong to.
+    pub fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+
+    /// Iterates over the salts and the parts under each.
+    pub fn salts(&self) -> impl Iterator<Item = (&Arc<str>, &HashMap<u64, u64>)> {
+        self.whole.iter()
+    }
+}
--- /dev/null
+++ b/damaskdrift_core/src/kept/plan.rs
@@ -0,0 +1,159 @@
+//! Decides for each part of a prompt whether it is fetched, saved or left alone.
+
+use std::collections::BTreeMap;
+use std::net;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3;
+
+use crate::id;
+use crate::kept::contents;
+use crate::routing;
+use crate::time::Millis;
+
+/// Smallest part that is kept in stores, in tokens; a smaller one is read faster than fetched.
+const MIN_TOKENS: u64 = 1_000;
+/// Expected time of a fetch beside its transfer, in milliseconds.
+const FETCH_MS: u64 = 30;
+
+/// Longest time of a fetch; its result is thrown away if it ends later.
+pub const FETCH_LIMIT: Millis = Millis(2_000);
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// Identifies the content of the part and all before it.
+    pub id: u64,
+    /// Size in tokens.
+    pub tokens: u64,
+}
+
+/// What is done with one part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// The upstream reads it.
+    Read,
+    /// The upstream fetches it from the store.
+    Fetch(net::SocketAddr),
+    /// The upstream reads it and saves it to the store.
+    Save(net::SocketAddr),
+}
+
+/// What is done with each part of a prompt.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Plan {
+    /// One step a part, in the order of the prompt.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Returns whether any part is fetched.
+    pub fn fetches(&self) -> bool {
+        self.steps.iter().any(|step| matches!(step, Step::Fetch(_)))
+    }
+
+    /// Returns whether any part is saved.
+    pub fn saves(&self) -> bool {
+        self.steps.iter().any(|step| matches!(step, Step::Save(_)))
+    }
+}
+
+/// A store and what it holds.
+#[derive(Debug)]
+struct Store {
+    record: routing::Store,
+    contents: contents::Contents,
+}
+
+/// All stores of kept KV cache.
+#[derive(Debug, Default)]
+pub struct Stores {
+    all: BTreeMap<id::Upstream, Store>,
+}
+
+impl Stores {
+    /// Installs the configured stores and keeps what is known of those that stay.
+    pub fn install(&mut self, records: &[routing::Store]) {
+        let mut before = std::mem::take(&mut self.all);
+        for record in records {
+            let known = before.remove(&record.id).filter(|s| s.record.address == record.address);
+            let contents = known.map(|store| store.contents).unwrap_or_default();
+            self.all.insert(record.id.clone(), Store { record: record.clone(), contents });
+        }
+    }
+
+    /// Returns the configured stores.
+    pub fn records(&self) -> Vec<routing::Store> {
+        self.all.values().map(|store| store.record.clone()).collect()
+    }
+
+    /// Returns what a store holds.
+    pub fn contents(&self, id: &id::Upstream) -> Option<&contents::Contents> {
+        self.all.get(id).map(|store| &store.contents)
+    }
+
+    /// Returns what a store holds, for changes.
+    pub fn contents_mut(&mut self, id: &id::Upstream) -> Option<&mut contents::Contents> {
+        self.all.get_mut(id).map(|store| &mut store.contents)
+    }
+
+    /// Returns the time to fetch the shared parts, absent unless stores hold each one that they
+    /// would keep.
+    pub fn fetch_time(&self, salt: &str, parts: &[Part], now: Millis) -> Option<Millis> {
+        let mut is_any = false;
+        for part in shared(parts) {
+            if part.tokens < MIN_TOKENS {
+                continue;
+            }
+            is_any = true;
+            if !self.home(part.id)?.contents.holds(salt, part.id, part.tokens, now) {
+                return None;
+            }
+        }
+        is_any.then_some(Millis(FETCH_MS))
+    }
+
+    /// Plans the steps of a prompt that runs under `salt`.
+    pub fn plan(&mut self, salt: &Arc<str>, parts: &[Part], now: Millis) -> Plan {
+        let mut steps = Vec::with_capacity(parts.len());
+        for (index, part) in parts.iter().enumerate() {
+            // The last part belongs to this request alone.
+            let is_kept = index + 1 < parts.len() && part.tokens >= MIN_TOKENS;
+            let home = if is_kept { self.home_mut(part.id) } else { None };
+            let Some(store) = home else {
+                steps.push(Step::Read);
+                continue;
+            };
+            let room = store.record.capacity_tokens.saturating_sub(part.tokens);
+            if store.contents.holds(salt, part.id, part.tokens, now) {
+                steps.push(Step::Fetch(store.record.address));
+            } else if store.contents.begin_save(salt, part.id, room, now) {
+                steps.push(Step::Save(store.record.address));
+            } else {
+                steps.push(Step::Read);
+            }
+        }
+        Plan { steps }
+    }
+
+    /// Returns the store that keeps a part: rendezvous hashing weighted by room, so that all
+    /// instances agree without a message and a store that comes or goes moves few parts.
+    fn home(&self, part: u64) -> Option<&Store> {
+        self.all.values().max_by(|a, b| score(a, part).total_cmp(&score(b, part)))
+    }
+
+    fn home_mut(&mut self, part: u64) -> Option<&mut Store> {
+        self.all.values_mut().max_by(|a, b| score(a, part).total_cmp(&score(b, part)))
+    }
+}
+
+/// Returns the parts that other prompts may share: all but the last.
+fn shared(parts: &[Part]) -> &[Part] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+fn score(store: &Store, part: u64) -> f64 {
+    let hash = xxh3::xxh3_64_with_seed(store.record.address.to_string().as_bytes(), part);
+    let unit = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+    -(store.record.capacity_tokens as f64) / unit.max(f64::MIN_POSITIVE).ln()
+}
--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -1,17 +1,21 @@
 //! Decisions of damaskdrift: no input, output, clock or global state.
 
 pub mod admission;
+pub mod balance;
 pub mod block;
 pub mod code;
 pub mod config_sync;
 pub mod fleet;
 pub mod id;
 pub mod idempotency;
+pub mod kept;
 pub mod membership;
 pub mod order;
 pub mod placement;
 pub mod retry;
 pub mod rollout;
+pub mod routing;
 pub mod slo;
 pub mod template;
 pub mod time;
+pub mod weights;
--- a/damaskdrift_core/src/retry/mod.rs
+++ b/damaskdrift_core/src/retry/mod.rs
@@ -2,9 +2,11 @@
 
 mod backoff;
 mod budget;
+mod share;
 
 pub use backoff::backoff;
 pub use budget::{Budget, Budgets};
+pub use share::{Bound, Share};
 
 use rand::Rng;
 
