Send shared parts of prompts to a home engine that all instances agree on

Ruled out: the stores, which keep only parts of 1,000 tokens or more. Also releases a borrow that was held while parts are freed.

--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -134,7 +134,8 @@
             return;
         }
         self.last_free = now;
-        for store in entry.stores.borrow().records() {
+        let stores = entry.stores.borrow().records();
+        for store in stores {
             if !store.is_managed {
                 continue;
             }
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use rand::{Rng, RngExt as _};
+use xxhash_rust::xxh3;
 
 use crate::balance::upstream;
 use crate::id;
@@ -26,6 +27,12 @@
 /// Share of an engine's memory that requests of all instances may hold before a preemption is
 /// likely.
 const MEMORY_SHARE: f64 = 0.9;
+/// Cost of each prompt token that is read though another engine has read it, in milliseconds,
+/// beside the time to read it: the work delays the requests behind it.
+const READ_AGAIN_MS: f64 = 0.1;
+/// Chance that an engine holds the shared parts of a prompt that it is the first or second home
+/// of, when this instance has not sent it one.
+const HOME_CHANCE: [f64; 2] = [0.9, 0.3];
 /// Cost of memory beyond that share, in milliseconds for a whole engine: a preempted prompt is
 /// read again.
 const MEMORY_MS: f64 = 2_000.0;
@@ -100,6 +107,7 @@
         let ejected = members.iter().filter(|u| u.condition.is_ejected(now)).count();
         // When most look broken, the fault is more likely on this side or shared by all.
         let may_eject = ejected * 2 <= members.len();
+        let homes = homes(&members, need);
         let mut best: Option<(f64, &upstream::Upstream, u64)> = None;
         let mut is_limited = false;
         for upstream in members {
@@ -115,7 +123,9 @@
                 is_limited = true;
                 continue;
             }
-            let (cost, unread) = cost(upstream, version, need, view, now);
+            let home = homes.iter().position(|home| *home == Some(&upstream.record.id));
+            let chance = home.map_or(0.0, |rank| HOME_CHANCE[rank]);
+            let (cost, unread) = cost(upstream, version, need, view, chance, now);
             let excess = (upstream.condition.failures() - mean_failures - 0.1).max(0.0);
             let cost = cost + FAILURE_MS * excess + rng.random_range(0.0..JITTER_MS);
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
@@ -130,6 +140,25 @@
     }
 }
 
+/// Returns the engines that requests with the same shared parts go to first. All instances find
+/// the same ones without a message.
+fn homes<'a>(members: &[&'a upstream::Upstream], need: &Need<'_>) -> [Option<&'a id::Upstream>; 2] {
+    let Some((root, _)) = need.parts.last() else {
+        return [None; 2];
+    };
+    let mut best: [Option<(u64, &id::Upstream)>; 2] = [None; 2];
+    for upstream in members {
+        let id = &upstream.record.id;
+        let scored = Some((xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), *root), id));
+        if scored > best[0] {
+            best = [scored, best[0]];
+        } else if scored > best[1] {
+            best[1] = scored;
+        }
+    }
+    best.map(|home| home.map(|(_, id)| id))
+}
+
 /// Returns the version of weights a request would run on, absent if the upstream cannot serve it.
 /// For requests without a model it is 0.
 fn servable(upstream: &upstream::Upstream, need: &Need<'_>) -> Option<u64> {
@@ -161,6 +190,7 @@
     version: u64,
     need: &Need<'_>,
     view: &View<'_>,
+    home_chance: f64,
     now: Millis,
 ) -> (f64, u64) {
     let mut cost = f64::from(upstream.in_flight) * IN_FLIGHT_MS + upstream.condition.delay_ms(now);
@@ -185,16 +215,18 @@
     let shared: u64 = need.parts.iter().map(|(_, tokens)| tokens).sum();
     let own = need.tokens.saturating_sub(shared);
     let salt = kept::salt(model, version, need.isolated);
-    let mut missing = 0;
+    let mut missing = 0.0;
     for (part, tokens) in need.parts {
         let at = upstream.remembered_at(&salt, *part);
         if at.is_none_or(|at| now.since(at) > PART_LIFE) {
-            missing += tokens;
+            missing += *tokens as f64 * (1.0 - home_chance);
         }
     }
-    let read_ms = missing as f64 / READ_RATE;
-    let obtain_ms = need.fetch.map_or(read_ms, |fetch| read_ms.min(fetch.0 as f64));
-    let unread = if need.fetch.is_some() { own } else { own + missing };
+    let obtain_ms = match need.fetch {
+        Some(fetch) => fetch.0 as f64 * missing / shared.max(1) as f64,
+        None => missing * (1.0 / READ_RATE + READ_AGAIN_MS),
+    };
+    let unread = if need.fetch.is_some() { own } else { own + missing as u64 };
     cost += obtain_ms + (upstream.unread + own) as f64 / READ_RATE;
     if let Some(engine) = need.service.engine {
         let room = engine.capacity_tokens as f64 * MEMORY_SHARE;
