--- a/damaskdrift/src/entry/directory.rs
+++ b/damaskdrift/src/entry/directory.rs
@@ -119,12 +119,12 @@
                     out.remove(&domain);
                 }
             }
-            port::Change::Instance(instance, is_registered) => {
-                log::info!(instance:%, is_registered; "instance changed");
-                if is_registered {
+            port::Change::Instance(instance, address) => {
+                log::info!(instance:%, address:?; "instance changed");
+                if address.is_some() {
                     present.instances.insert(instance.clone());
                 }
-                entry.set_instance(instance, is_registered);
+                entry.set_instance(instance, address);
             }
             port::Change::Duty(holder) => {
                 log::info!(holder:? = holder.as_ref().map(|(id, fence)| (id.as_str(), fence.0)); "duty changed");
--- a/damaskdrift/src/entry/duty.rs
+++ b/damaskdrift/src/entry/duty.rs
@@ -104,7 +104,8 @@
             return;
         }
     };
-    match entry.port.claim(kind, &entry.settings.instance, lease).await {
+    let settings = &entry.settings;
+    match entry.port.claim(kind, &settings.instance, settings.peers, lease).await {
         Ok(Some(revision)) => {
             log::info!(kind:?, lease, revision; "entry claimed");
             let fence = id::FencingToken(revision);
--- a/damaskdrift/src/entry/forward.rs
+++ b/damaskdrift/src/entry/forward.rs
@@ -329,7 +329,7 @@
             return Outcome::Unreached("the upstream has begun to leave".to_owned());
         }
         let now = clock::now();
-        let (req, fetches) = self.encode(id, model_version);
+        let (req, kept) = self.encode(id, model_version);
         if self.sends == 0 {
             self.entry.repeats.borrow_mut().first(&self.service.id, now);
         }
@@ -352,7 +352,7 @@
                 return Outcome::Unknown(code::Code::UpstreamTimeout, reason);
             }
         };
-        self.judge(id, response, (address, conn), flight, fetches).await
+        self.judge(id, response, (address, conn), flight, kept).await
     }
 
     async fn exchange(
@@ -381,7 +381,7 @@
         response: Response<Incoming>,
         conn: (std::net::SocketAddr, client::Conn),
         flight: relay::Flight,
-        fetches: bool,
+        kept: &'static str,
     ) -> Outcome {
         let (parts, incoming) = response.into_parts();
         match self.entry.port.decode_answer(&parts, &self.call.id) {
@@ -408,7 +408,7 @@
         } else {
             balance::Verdict::Sound
         });
-        self.log_answer(id, parts.status, fetches);
+        self.log_answer(id, parts.status, kept);
         let mut head = Response::new(());
         *head.status_mut() = parts.status;
         *head.headers_mut() = end_to_end(&parts.headers);
@@ -454,7 +454,7 @@
         Some((record.address, version))
     }
 
-    fn encode(&self, id: &id::Upstream, version: u64) -> (Request<Full<Bytes>>, bool) {
+    fn encode(&self, id: &id::Upstream, version: u64) -> (Request<Full<Bytes>>, &'static str) {
         let now = clock::now();
         let salt: Option<Arc<str>> = self
             .call
@@ -489,7 +489,7 @@
         *req.method_mut() = self.head.method.clone();
         *req.uri_mut() = self.head.uri.clone();
         *req.headers_mut() = self.entry.port.forward_headers(&self.head.headers, &forward);
-        (req, plan.fetches())
+        (req, plan.summary())
     }
 
     fn observe(&self, id: &id::Upstream, verdict: balance::Verdict) {
@@ -525,13 +525,13 @@
         "the upstream has other weights".to_owned()
     }
 
-    fn log_answer(&self, id: &id::Upstream, status: StatusCode, fetches: bool) {
+    fn log_answer(&self, id: &id::Upstream, status: StatusCode, kept: &'static str) {
         let head_ms = self.started.elapsed().as_millis();
         metrics::counter!("answers", "status" => status.as_str().to_owned()).increment(1);
         metrics::histogram!("answer_head_seconds").record(self.started.elapsed().as_secs_f64());
         log::info!(
             request = self.call.id.as_str(), route = &*self.route.name, upstream:% = id,
-            status = status.as_u16(), sends = self.sends, fetches, head_ms = head_ms as u64;
+            status = status.as_u16(), sends = self.sends, kept, head_ms = head_ms as u64;
             "answer passed on"
         );
     }
--- a/damaskdrift/src/entry/listener.rs
+++ b/damaskdrift/src/entry/listener.rs
@@ -52,7 +52,8 @@
     tracker.wait().await;
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+/// Accepts a connection; a failure is logged and tried again.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return stream,
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub mod forward;
 mod listener;
 mod observe;
+mod peers;
 mod pool;
 pub mod port;
 mod refusal;
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -101,8 +101,8 @@
     Weights(balance::Weights),
     /// Operators took a failure domain out, or back in.
     DomainOut(id::FailureDomain, bool),
-    /// An instance registered, or its registration ended.
-    Instance(id::Instance, bool),
+    /// An instance registered with its address for others, or its registration ended.
+    Instance(id::Instance, Option<net::SocketAddr>),
     /// A duty was taken by an instance under a fencing number, or became free.
     Duty(Option<(id::Instance, id::FencingToken)>),
     /// An entry that cannot be used; the key and why.
@@ -223,12 +223,13 @@
     /// Ends a lease; entries under it are removed.
     fn end(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 
-    /// Writes an entry of an instance under a lease unless the entry exists. Returns the revision
-    /// of the write, or `None` if the entry exists.
+    /// Writes an entry of an instance, with its address for others, under a lease unless the entry
+    /// exists. Returns the revision of the write, or `None` if the entry exists.
     fn claim<'a>(
         &'a self,
         entry: Entry,
         instance: &'a id::Instance,
+        address: net::SocketAddr,
         lease: u64,
     ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
 
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -18,6 +18,10 @@
 use crate::entry::clock;
 use crate::entry::state;
 
+/// Size of a prompt, in tokens to be read, from which other instances are told of it at once. It
+/// takes some ten milliseconds to read, for which other requests there wait.
+const NOTED_TOKENS: u64 = 500;
+
 /// A request that an upstream has not finished. Dropping it ends the instance's count of it.
 #[derive(Debug)]
 pub struct Flight {
@@ -71,12 +75,18 @@
         if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(upstream) {
             upstream.start(&sent, since);
         }
+        if sent.unread >= NOTED_TOKENS {
+            entry.load_changed.notify_one();
+        }
         Self { entry: entry.clone(), upstream: upstream.clone(), sent, since, expected }
     }
 
     /// Notes that the first piece of the answer came.
     fn begin(&mut self) {
         let now = clock::now();
+        if self.sent.unread >= NOTED_TOKENS {
+            self.entry.load_changed.notify_one();
+        }
         let took = now.since(self.since);
         metrics::histogram!("first_piece_seconds").record(took.0 as f64 / 1_000.0);
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -18,6 +18,7 @@
 use crate::entry::duty;
 use crate::entry::listener;
 use crate::entry::observe;
+use crate::entry::peers;
 use crate::entry::port;
 use crate::entry::settings;
 use crate::entry::state;
@@ -58,6 +59,7 @@
     task::spawn_local(follow_settings(signal(SignalKind::hangup())?, settings.clone(), reload));
     let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
+    let peers = listen(settings.peers).await?;
     let metrics = listen(settings.metrics).await?;
     let entry = state::Entry::new(settings, port, client);
     log::info!(
@@ -69,6 +71,8 @@
     let callers = task::spawn_local(listener::serve_callers(entry.clone(), callers, close.clone()));
     task::spawn_local(listener::serve_readiness(entry.clone(), readiness));
     task::spawn_local(listener::serve_metrics(page, metrics));
+    task::spawn_local(peers::listen(entry.clone(), peers));
+    task::spawn_local(peers::run(entry.clone()));
     task::spawn_local(directory::run(entry.clone()));
     task::spawn_local(stores::run(entry.clone()));
     task::spawn_local(observe::run(entry.clone()));
--- a/damaskdrift/src/entry/settings.rs
+++ b/damaskdrift/src/entry/settings.rs
@@ -17,6 +17,8 @@
     pub callers: net::SocketAddr,
     /// Address for the platform's readiness checks.
     pub readiness: net::SocketAddr,
+    /// Address for other instances.
+    pub peers: net::SocketAddr,
     /// Address that serves metrics.
     pub metrics: net::SocketAddr,
     /// Time after the acknowledged change of the configuration in which a removed key may be used.
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net;
 use std::rc::Rc;
 
 use damaskdrift_core::balance;
@@ -12,6 +13,7 @@
 use damaskdrift_core::time::Millis;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::client;
@@ -26,6 +28,23 @@
 /// time without the store.
 const INSTANCE_LINGER: Millis = Millis(10_000);
 
+/// A registered instance, or one that was until lately.
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    address: Option<net::SocketAddr>,
+    /// Until when an instance counts whose registration ended.
+    until: Option<Millis>,
+}
+
+/// What the holder of the duty saw of weights.
+#[derive(Debug, Default)]
+pub struct SeenWeights {
+    /// Upstreams that load weights.
+    pub loading: BTreeSet<id::Upstream>,
+    /// Versions that upstreams showed, and when.
+    pub shown: BTreeMap<id::Upstream, (balance::Weights, Millis)>,
+}
+
 /// State that the tasks of an entry instance share. No borrow is held across an await.
 #[derive(Debug)]
 pub struct Entry {
@@ -59,8 +78,12 @@
     pub requests: Cell<u32>,
     /// Source of random choices.
     pub rng: RefCell<ChaCha8Rng>,
-    /// Registered instances, and until when one that is no longer registered counts.
-    instances: RefCell<BTreeMap<id::Instance, Option<Millis>>>,
+    /// Set when this instance's work at upstreams has changed much.
+    pub load_changed: Notify,
+    /// Upstreams that load weights by order of this instance, and the weights that upstreams
+    /// showed since; other instances are told.
+    pub seen_weights: RefCell<SeenWeights>,
+    instances: RefCell<BTreeMap<id::Instance, Member>>,
 }
 
 impl Entry {
@@ -85,6 +108,8 @@
             duty: RefCell::default(),
             stopping: CancellationToken::new(),
             requests: Cell::new(0),
+            load_changed: Notify::new(),
+            seen_weights: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             instances: RefCell::default(),
         })
@@ -103,17 +128,24 @@
     }
 
     /// Notes that an instance registered or that its registration ended.
-    pub fn set_instance(&self, instance: id::Instance, is_registered: bool) {
-        let until = (!is_registered).then(|| clock::now() + INSTANCE_LINGER);
-        self.instances.borrow_mut().insert(instance, until);
+    pub fn set_instance(&self, instance: id::Instance, address: Option<net::SocketAddr>) {
+        let until = address.is_none().then(|| clock::now() + INSTANCE_LINGER);
+        self.instances.borrow_mut().insert(instance, Member { address, until });
+    }
+
+    /// Returns the other registered instances with their addresses.
+    pub fn peers(&self) -> Vec<(id::Instance, net::SocketAddr)> {
+        let instances = self.instances.borrow();
+        let others = instances.iter().filter(|(id, _)| **id != self.settings.instance);
+        others.filter_map(|(id, member)| Some((id.clone(), member.address?))).collect()
     }
 
     /// Notes which instances are registered; others end.
     pub fn set_instances(&self, registered: &BTreeSet<id::Instance>) {
         let now = clock::now();
-        for (instance, until) in &mut *self.instances.borrow_mut() {
-            if !registered.contains(instance) && until.is_none() {
-                *until = Some(now + INSTANCE_LINGER);
+        for (instance, member) in &mut *self.instances.borrow_mut() {
+            if !registered.contains(instance) && member.until.is_none() {
+                *member = Member { address: None, until: Some(now + INSTANCE_LINGER) };
             }
         }
     }
@@ -122,7 +154,7 @@
     pub fn instance_count(&self) -> u32 {
         let now = clock::now();
         let mut instances = self.instances.borrow_mut();
-        instances.retain(|_, until| until.is_none_or(|until| now < until));
+        instances.retain(|_, member| member.until.is_none_or(|until| now < until));
         if self.confirmed.get().is_none() {
             return ASSUMED_INSTANCES;
         }
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -24,7 +24,7 @@
 /// hundred milliseconds and each is a call to the upstream.
 const REPORT_PACE: Millis = Millis(150);
 /// How long requests avoid an upstream that was ordered to load weights.
-const LOAD_AVOIDANCE: Millis = Millis(600);
+pub const LOAD_AVOIDANCE: Millis = Millis(600);
 /// Time after which the parts of a salt that no upstream uses any longer are freed. No fetch of
 /// them lasts as long, nor does the knowledge of an instance lag as much.
 const FREE_DELAY: Millis = Millis(4_000);
@@ -194,7 +194,7 @@
         let Some(version) = upstream.version(model) else {
             continue;
         };
-        let running = upstream.in_flight;
+        let running = upstream.load().in_flight;
         members.push(weights::Member { id: upstream.record.id.clone(), version, running });
     }
     members
@@ -216,6 +216,14 @@
                     upstream.set_version(&weights.model, weights.version);
                 }
             }
+            let mut seen = entry.seen_weights.borrow_mut();
+            if !report.is_busy {
+                seen.loading.remove(&id);
+            }
+            for weights in &report.weights {
+                seen.shown.insert(id.clone(), (weights.clone(), clock::now()));
+            }
+            entry.load_changed.notify_one();
             Some(report)
         }
         Err(error) => {
@@ -249,6 +257,8 @@
     if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
         upstream.avoid_until = clock::now() + LOAD_AVOIDANCE;
     }
+    entry.seen_weights.borrow_mut().loading.insert(id.clone());
+    entry.load_changed.notify_one();
     let order = port::Order {
         upstream: id.clone(),
         weights,
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -25,6 +25,26 @@
     /// The reply to the request of that number.
     #[serde(rename = "a")]
     Reply(u64, Reply),
+    /// What an entry instance has at upstreams; a later one replaces it.
+    #[serde(rename = "l")]
+    Load(Load),
+}
+
+/// What an entry instance has at upstreams, and what it saw of their weights.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Load {
+    /// The sender.
+    #[serde(rename = "i")]
+    pub instance: String,
+    /// Upstreams with work: requests in flight, their tokens, and tokens still to be read.
+    #[serde(rename = "u")]
+    pub upstreams: Vec<(String, u32, u64, u64)>,
+    /// Weights that upstreams showed in answer to an order: upstream, model and version.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub weights: Vec<(String, String, u64)>,
+    /// Upstreams that are loading weights.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub loading: Vec<String>,
 }
 
 /// Introduces an instance.
--- a/damaskdrift/src/peer/mod.rs
+++ b/damaskdrift/src/peer/mod.rs
@@ -5,7 +5,7 @@
 mod link;
 mod listener;
 pub mod message;
-mod socket;
+pub mod socket;
 
 use std::collections;
 use std::sync;
--- a/damaskdrift/src/peer/socket.rs
+++ b/damaskdrift/src/peer/socket.rs
@@ -41,12 +41,7 @@
     address: net::SocketAddr,
 ) -> Result<Socket<TcpStream>, Error> {
     let open = async {
-        let tcp = TcpStream::connect(address).await.map_err(|error| unreachable(&error))?;
-        tcp.set_nodelay(true).map_err(|error| unreachable(&error))?;
-        let url = format!("ws://{address}/");
-        let (stream, _) = tokio_tungstenite::client_async_with_config(url, tcp, Some(config()))
-            .await
-            .map_err(|error| from_websocket(&error))?;
+        let stream = open(address).await?;
         Socket::introduce(cx, stream).await
     };
     let socket = within(open).await?;
@@ -63,10 +58,7 @@
 /// Returns why the connection cannot be used.
 pub async fn accept(cx: &context::Context, tcp: TcpStream) -> Result<Socket<TcpStream>, Error> {
     let open = async {
-        tcp.set_nodelay(true).map_err(|error| unreachable(&error))?;
-        let stream = tokio_tungstenite::accept_async_with_config(tcp, Some(config()))
-            .await
-            .map_err(|error| from_websocket(&error))?;
+        let stream = take(tcp).await?;
         Socket::introduce(cx, stream).await
     };
     let socket = within(open).await?;
@@ -76,6 +68,33 @@
     Ok(socket)
 }
 
+/// Connects to a listener of an instance.
+///
+/// # Errors
+///
+/// Returns why no connection was made.
+pub async fn open(address: net::SocketAddr) -> Result<WebSocketStream<TcpStream>, Error> {
+    let tcp = TcpStream::connect(address).await.map_err(|error| unreachable(&error))?;
+    tcp.set_nodelay(true).map_err(|error| unreachable(&error))?;
+    let url = format!("ws://{address}/");
+    let (stream, _) = tokio_tungstenite::client_async_with_config(url, tcp, Some(config()))
+        .await
+        .map_err(|error| from_websocket(&error))?;
+    Ok(stream)
+}
+
+/// Takes a connection that an instance opened.
+///
+/// # Errors
+///
+/// Returns why the connection cannot be used.
+pub async fn take(tcp: TcpStream) -> Result<WebSocketStream<TcpStream>, Error> {
+    tcp.set_nodelay(true).map_err(|error| unreachable(&error))?;
+    tokio_tungstenite::accept_async_with_config(tcp, Some(config()))
+        .await
+        .map_err(|error| from_websocket(&error))
+}
+
 impl<S: AsyncRead + AsyncWrite + Unpin> Socket<S> {
     /// Sends a frame.
     ///
@@ -116,7 +135,12 @@
     }
 }
 
-async fn send<S: AsyncRead + AsyncWrite + Unpin>(
+/// Sends a frame.
+///
+/// # Errors
+///
+/// Returns why the connection broke or the frame is not allowed.
+pub async fn send<S: AsyncRead + AsyncWrite + Unpin>(
     stream: &mut WebSocketStream<S>,
     frame: &message::Frame,
 ) -> Result<(), Error> {
@@ -125,7 +149,12 @@
     stream.send(Message::Binary(bytes)).await.map_err(|error| from_websocket(&error))
 }
 
-async fn receive<S: AsyncRead + AsyncWrite + Unpin>(
+/// Receives the next frame; may be cancelled between frames.
+///
+/// # Errors
+///
+/// Returns why the connection broke or the frame is not allowed.
+pub async fn receive<S: AsyncRead + AsyncWrite + Unpin>(
     stream: &mut WebSocketStream<S>,
 ) -> Result<message::Frame, Error> {
     loop {
@@ -146,7 +175,12 @@
     }
 }
 
-async fn within<T>(open: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+/// Bounds the time to connect and exchange introductions.
+///
+/// # Errors
+///
+/// Returns why the connection cannot be used, or that the time is over.
+pub async fn within<T>(open: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let timeout = || Error::Unreachable("timeout while connecting".to_owned());
     time::timeout(OPEN_TIMEOUT, open).await.map_err(|_| timeout())?
 }
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -182,7 +182,7 @@
     }
     // One instance more than there are leaves room for a restart whose old connections linger.
     let connections = (need.service.connections / (instances + 1)).max(1);
-    upstream.in_flight < connections
+    upstream.own.in_flight < connections
 }
 
 fn cost(
@@ -193,7 +193,8 @@
     home_chance: f64,
     now: Millis,
 ) -> (f64, u64) {
-    let mut cost = f64::from(upstream.in_flight) * IN_FLIGHT_MS + upstream.condition.delay_ms(now);
+    let load = upstream.load();
+    let mut cost = f64::from(load.in_flight) * IN_FLIGHT_MS + upstream.condition.delay_ms(now);
     if upstream.record.domain != *view.domain {
         cost += OTHER_DOMAIN_MS;
     }
@@ -227,10 +228,10 @@
         None => missing * (1.0 / READ_RATE + READ_AGAIN_MS),
     };
     let unread = if need.fetch.is_some() { own } else { own + missing as u64 };
-    cost += obtain_ms + (upstream.unread + own) as f64 / READ_RATE;
+    cost += obtain_ms + (load.unread + own) as f64 / READ_RATE;
     if let Some(engine) = need.service.engine {
         let room = engine.capacity_tokens as f64 * MEMORY_SHARE;
-        let held = (upstream.tokens + need.tokens) as f64;
+        let held = (load.tokens + need.tokens) as f64;
         cost += MEMORY_MS * ((held - room) / engine.capacity_tokens as f64).max(0.0);
     }
     (cost, unread)
--- a/damaskdrift_core/src/balance/mod.rs
+++ b/damaskdrift_core/src/balance/mod.rs
@@ -6,4 +6,4 @@
 
 pub use choice::{Need, Unavailable, View};
 pub use condition::{Condition, Verdict};
-pub use upstream::{Record, Sent, Upstream, Upstreams, Weights};
+pub use upstream::{Load, Record, Sent, Upstream, Upstreams, Weights};
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -48,6 +48,21 @@
     pub order_sequence: u64,
 }
 
+/// Age of a peer's report above which it no longer counts.
+const PEER_LIFE: Millis = Millis(1_500);
+
+/// Work that instances have at an upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that it has not finished.
+    pub in_flight: u32,
+    /// Tokens of these requests.
+    pub tokens: u64,
+    /// Tokens of these requests that were still to be read when they were sent, for those
+    /// without a first event.
+    pub unread: u64,
+}
+
 /// A request that an upstream has not finished.
 #[derive(Debug)]
 pub struct Sent {
@@ -64,13 +79,10 @@
     pub record: Record,
     /// How well it answers.
     pub condition: condition::Condition,
-    /// Requests of this instance that it has not finished.
-    pub in_flight: u32,
-    /// Tokens of these requests.
-    pub tokens: u64,
-    /// Tokens of these requests that were still to be read when they were sent, for those
-    /// without a first event.
-    pub unread: u64,
+    /// Work of this instance there.
+    pub own: Load,
+    /// Work of other instances there, as they report it.
+    pub others: Load,
     /// Until when requests avoid it, because it refused one as full or while it loads weights.
     pub avoid_until: Millis,
     cold_until: Millis,
@@ -82,6 +94,7 @@
 #[derive(Debug, Default)]
 pub struct Upstreams {
     all: BTreeMap<id::Upstream, Upstream>,
+    peers: HashMap<id::Instance, (Millis, Vec<(id::Upstream, Load)>)>,
 }
 
 impl Upstream {
@@ -89,9 +102,8 @@
         Self {
             record,
             condition: condition::Condition::default(),
-            in_flight: 0,
-            tokens: 0,
-            unread: 0,
+            own: Load::default(),
+            others: Load::default(),
             avoid_until: Millis(0),
             cold_until,
             cold_sends: VecDeque::new(),
@@ -109,6 +121,15 @@
         now < self.cold_until
     }
 
+    /// Returns the work of all instances there.
+    pub fn load(&self) -> Load {
+        Load {
+            in_flight: self.own.in_flight + self.others.in_flight,
+            tokens: self.own.tokens + self.others.tokens,
+            unread: self.own.unread + self.others.unread,
+        }
+    }
+
     /// Returns how many requests this instance sent to it while it was cold, in the last window.
     pub fn cold_sends(&self, now: Millis) -> usize {
         self.cold_sends.iter().filter(|at| now.since(**at) < COLD_WINDOW).count()
@@ -121,9 +142,9 @@
 
     /// Notes that a request was sent.
     pub fn start(&mut self, sent: &Sent, now: Millis) {
-        self.in_flight += 1;
-        self.tokens += sent.tokens;
-        self.unread += sent.unread;
+        self.own.in_flight += 1;
+        self.own.tokens += sent.tokens;
+        self.own.unread += sent.unread;
         while self.cold_sends.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW) {
             self.cold_sends.pop_front();
         }
@@ -133,14 +154,14 @@
 
     /// Notes that a request's prompt was read.
     pub fn read(&mut self, sent: &mut Sent) {
-        self.unread = self.unread.saturating_sub(std::mem::take(&mut sent.unread));
+        self.own.unread = self.own.unread.saturating_sub(std::mem::take(&mut sent.unread));
     }
 
     /// Notes that a request has ended.
     pub fn end(&mut self, sent: &mut Sent) {
         self.read(sent);
-        self.in_flight = self.in_flight.saturating_sub(1);
-        self.tokens = self.tokens.saturating_sub(std::mem::take(&mut sent.tokens));
+        self.own.in_flight = self.own.in_flight.saturating_sub(1);
+        self.own.tokens = self.own.tokens.saturating_sub(std::mem::take(&mut sent.tokens));
     }
 
     /// Notes that the upstream has read a part of a prompt.
@@ -201,6 +222,30 @@
         self.all.remove(id).is_some()
     }
 
+    /// Takes a peer's report of its work into account; it replaces the one before.
+    pub fn set_peer(&mut self, peer: id::Instance, loads: Vec<(id::Upstream, Load)>, now: Millis) {
+        self.peers.insert(peer, (now, loads));
+        self.sum_peers(now);
+    }
+
+    /// Sums the reports of peers, without those that are too old to count.
+    pub fn sum_peers(&mut self, now: Millis) {
+        self.peers.retain(|_, (at, _)| now.since(*at) < PEER_LIFE);
+        for upstream in self.all.values_mut() {
+            upstream.others = Load::default();
+        }
+        for (_, loads) in self.peers.values() {
+            for (id, load) in loads {
+                let Some(upstream) = self.all.get_mut(id) else {
+                    continue;
+                };
+                upstream.others.in_flight += load.in_flight;
+                upstream.others.tokens += load.tokens;
+                upstream.others.unread += load.unread;
+            }
+        }
+    }
+
     /// Returns an upstream.
     pub fn get(&self, id: &id::Upstream) -> Option<&Upstream> {
         self.all.get(id)
--- a/damaskdrift_core/src/kept/plan.rs
+++ b/damaskdrift_core/src/kept/plan.rs
@@ -52,6 +52,16 @@
         self.steps.iter().any(|step| matches!(step, Step::Fetch(_)))
     }
 
+    /// Returns one word on the plan for logs.
+    pub fn summary(&self) -> &'static str {
+        match (self.steps.is_empty(), self.fetches(), self.saves()) {
+            (true, ..) => "none",
+            (_, true, _) => "fetch",
+            (_, false, true) => "save",
+            (_, false, false) => "read",
+        }
+    }
+
     /// Returns whether any part is saved.
     pub fn saves(&self) -> bool {
         self.steps.iter().any(|step| matches!(step, Step::Save(_)))
