Learn an upstream's weights from its refusal; hand the duty over faster

The refusal names the version; a list corrects what was misread after 3 s. A new holder of the duty waited lease-ms though servers check fences.

--- a/damaskdrift/src/entry/duty.rs
+++ b/damaskdrift/src/entry/duty.rs
@@ -15,12 +15,12 @@
 /// store, since the count of instances divides the bounds that all share.
 const REGISTRATION_LIFE: Millis = Millis(6_000);
 /// Life of the lease of the duty; an outage of its holder delays new weights by as much.
-const DUTY_LIFE: Millis = Millis(2_400);
+const DUTY_LIFE: Millis = Millis(1_600);
 /// Share of a lease's life after which it is renewed.
 const RENEWALS: u64 = 3;
 /// Time before the end of the lease from which its holder no longer acts, counted from when the
 /// renewal was asked for.
-const DUTY_MARGIN: Millis = Millis(600);
+const DUTY_MARGIN: Millis = Millis(400);
 /// Range of waits before a free entry is claimed again, so that few instances race for it.
 const CLAIM_WAIT_MS: std::ops::Range<u64> = 200..1_200;
 
--- a/damaskdrift/src/entry/forward.rs
+++ b/damaskdrift/src/entry/forward.rs
@@ -392,8 +392,8 @@
                 self.keep(conn, parts, incoming);
                 return Outcome::NotRun(format!("not run by the upstream, status {status}"));
             }
-            port::Answer::Misdirected(actual) => {
-                let reason = self.misdirected(id, actual.as_ref());
+            port::Answer::Misdirected(actual, version) => {
+                let reason = self.misdirected(id, actual.as_ref(), version);
                 self.keep(conn, parts, incoming);
                 return Outcome::NotRun(reason);
             }
@@ -505,7 +505,12 @@
     }
 
     /// Learns from the refusal of an upstream that is another one, or has other weights.
-    fn misdirected(&self, id: &id::Upstream, actual: Option<&id::Upstream>) -> String {
+    fn misdirected(
+        &self,
+        id: &id::Upstream,
+        actual: Option<&id::Upstream>,
+        version: Option<u64>,
+    ) -> String {
         if actual.is_some_and(|actual| actual != id) {
             // The address was given to another upstream. The entry stays until the platform
             // removes it, so it is only left out.
@@ -514,13 +519,15 @@
             }
             return "another upstream has the address".to_owned();
         }
-        if let Some(prompt) = &self.call.prompt {
-            let newest = self.entry.named.borrow().get(&prompt.model).map(|(version, _)| *version);
-            if let (Some(newest), Some(upstream)) =
-                (newest, self.entry.upstreams.borrow_mut().get_mut(id))
-            {
-                upstream.set_version(&prompt.model, newest);
-            }
+        let now = clock::now();
+        if let Some(prompt) = &self.call.prompt
+            && let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(id)
+        {
+            // Without its word, the upstream most likely has the version after the one believed.
+            let believed = upstream.version(&prompt.model).unwrap_or(0);
+            let newest = self.entry.named.borrow().get(&prompt.model).map_or(0, |named| named.0);
+            let likely = version.unwrap_or_else(|| (believed + 1).min(newest.max(believed)));
+            upstream.set_version(&prompt.model, likely, now);
         }
         "the upstream has other weights".to_owned()
     }
--- a/damaskdrift/src/entry/peers.rs
+++ b/damaskdrift/src/entry/peers.rs
@@ -15,7 +15,6 @@
 use crate::entry::clock;
 use crate::entry::listener;
 use crate::entry::state;
-use crate::entry::weights;
 use crate::peer::{Error, message, socket};
 
 /// Pause after a report, so that changes that come together share one.
@@ -30,6 +29,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// How often the registered instances are compared with the connections.
 const COMPARE_PAUSE: Duration = Duration::from_millis(250);
+/// Time for which an upstream that a peer reports as loading weights is avoided: until the next
+/// report but one.
+const LOADING_LIFE: Millis = Millis(300);
 /// Time for which weights that an upstream showed are told; the platform's list has them by then.
 const SHOWN_LIFE: Millis = Millis(3_000);
 
@@ -62,12 +64,12 @@
     let mut upstreams = entry.upstreams.borrow_mut();
     for (upstream, model, version) in &report.weights {
         if let Some(upstream) = upstreams.get_mut(&id::Upstream::new(upstream)) {
-            upstream.set_version(&id::Model::new(model), *version);
+            upstream.set_version(&id::Model::new(model), *version, now);
         }
     }
     for upstream in &report.loading {
         if let Some(upstream) = upstreams.get_mut(&id::Upstream::new(upstream)) {
-            upstream.avoid_until = now + weights::LOAD_AVOIDANCE;
+            upstream.avoid_until = now + LOADING_LIFE;
         }
     }
     let mut loads = Vec::with_capacity(report.upstreams.len());
@@ -103,6 +105,7 @@
     }
     let mut seen = entry.seen_weights.borrow_mut();
     seen.shown.retain(|_, (_, at)| now.since(*at) < SHOWN_LIFE);
+    seen.loading.retain(|_, until| now < *until);
     let mut weights = Vec::new();
     for (upstream, (shown, _)) in &seen.shown {
         weights.push((upstream.to_string(), shown.model.to_string(), shown.version));
@@ -111,7 +114,7 @@
         instance: entry.settings.instance.to_string(),
         upstreams,
         weights,
-        loading: seen.loading.iter().map(id::Upstream::to_string).collect(),
+        loading: seen.loading.keys().map(id::Upstream::to_string).collect(),
     })
 }
 
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -81,9 +81,9 @@
     Genuine,
     /// The upstream did not run the request.
     NotRun,
-    /// Another upstream, or one with other weights, got the request and did not run it; the id is
-    /// its own.
-    Misdirected(Option<id::Upstream>),
+    /// Another upstream, or one with other weights, got the request and did not run it; its own id
+    /// and the version of its weights, if it told them.
+    Misdirected(Option<id::Upstream>, Option<u64>),
     /// It is not the answer to this request; why.
     Foreign(&'static str),
 }
--- a/damaskdrift/src/entry/settings.rs
+++ b/damaskdrift/src/entry/settings.rs
@@ -29,7 +29,8 @@
     pub grace: Millis,
     /// Time after which requests on older weights than the newest named must not begin.
     pub version_limit: Millis,
-    /// Least time between the orders of two holders of a duty.
+    /// Least time between the orders of two holders of a duty; zero where upstreams refuse the
+    /// orders of the earlier holder themselves.
     pub turn: Millis,
     /// Least life of a lease at the platform's store.
     pub shortest_lease: Millis,
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -39,8 +39,8 @@
 /// What the holder of the duty saw of weights.
 #[derive(Debug, Default)]
 pub struct SeenWeights {
-    /// Upstreams that load weights.
-    pub loading: BTreeSet<id::Upstream>,
+    /// Upstreams that load weights, and until when this is told.
+    pub loading: BTreeMap<id::Upstream, Millis>,
     /// Versions that upstreams showed, and when.
     pub shown: BTreeMap<id::Upstream, (balance::Weights, Millis)>,
 }
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -24,7 +24,7 @@
 /// hundred milliseconds and each is a call to the upstream.
 const REPORT_PACE: Millis = Millis(150);
 /// How long requests avoid an upstream that was ordered to load weights.
-pub const LOAD_AVOIDANCE: Millis = Millis(600);
+const LOAD_AVOIDANCE: Millis = Millis(600);
 /// Time after which the parts of a salt that no upstream uses any longer are freed. No fetch of
 /// them lasts as long, nor does the knowledge of an instance lag as much.
 const FREE_DELAY: Millis = Millis(4_000);
@@ -213,14 +213,15 @@
         Ok(report) => {
             if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
                 for weights in &report.weights {
-                    upstream.set_version(&weights.model, weights.version);
+                    upstream.set_version(&weights.model, weights.version, clock::now());
                 }
             }
             let mut seen = entry.seen_weights.borrow_mut();
-            if !report.is_busy {
-                seen.loading.remove(&id);
-            }
             for weights in &report.weights {
+                let before = seen.shown.get(&id).map(|(before, _)| before.version);
+                if before.is_some_and(|before| before < weights.version) {
+                    seen.loading.remove(&id);
+                }
                 seen.shown.insert(id.clone(), (weights.clone(), clock::now()));
             }
             entry.load_changed.notify_one();
@@ -257,7 +258,7 @@
     if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
         upstream.avoid_until = clock::now() + LOAD_AVOIDANCE;
     }
-    entry.seen_weights.borrow_mut().loading.insert(id.clone());
+    entry.seen_weights.borrow_mut().loading.insert(id.clone(), clock::now() + LOAD_AVOIDANCE);
     entry.load_changed.notify_one();
     let order = port::Order {
         upstream: id.clone(),
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -48,6 +48,9 @@
     pub order_sequence: u64,
 }
 
+/// Time after which a list has caught up with what an upstream itself showed of its weights: two
+/// of its writes and the way of the change.
+const LIST_LAG: Millis = Millis(3_000);
 /// Age of a peer's report above which it no longer counts.
 const PEER_LIFE: Millis = Millis(1_500);
 
@@ -88,6 +91,8 @@
     cold_until: Millis,
     cold_sends: VecDeque<Millis>,
     parts: HashMap<(Arc<str>, u64), Millis>,
+    /// When the upstream itself last showed its weights.
+    shown: Option<Millis>,
 }
 
 /// All upstreams that an instance knows.
@@ -108,6 +113,7 @@
             cold_until,
             cold_sends: VecDeque::new(),
             parts: HashMap::new(),
+            shown: None,
         }
     }
 
@@ -181,7 +187,8 @@
     }
 
     /// Sets a model's version to one that the upstream itself showed.
-    pub fn set_version(&mut self, model: &id::Model, version: u64) {
+    pub fn set_version(&mut self, model: &id::Model, version: u64, now: Millis) {
+        self.shown = Some(now);
         for weights in &mut self.record.weights {
             if weights.model == *model {
                 weights.version = version;
@@ -202,11 +209,14 @@
                 if record.cold_for > Millis(0) {
                     known.cold_until = known.cold_until.max(reported);
                 }
-                // A list lags behind what the upstream itself showed: versions only rise.
+                // A list lags behind what the upstream itself showed, but not for long: what was
+                // shown may have been misread.
                 let mut record = record;
-                for weights in &mut record.weights {
-                    let shown = known.version(&weights.model).unwrap_or(0);
-                    weights.version = weights.version.max(shown);
+                if known.shown.is_some_and(|at| now.since(at) < LIST_LAG) {
+                    for weights in &mut record.weights {
+                        let shown = known.version(&weights.model).unwrap_or(0);
+                        weights.version = weights.version.max(shown);
+                    }
                 }
                 known.record = record;
             }
--- a/damaskdrift_core/src/kept/contents.rs
+++ b/damaskdrift_core/src/kept/contents.rs
@@ -109,14 +109,16 @@
         if !self.is_trusted(now) || now < self.settled || self.used >= room {
             return false;
         }
-        let key = (salt.clone(), part);
-        if self.saving.get(&key).is_some_and(|at| now.since(*at) < SAVE_TIMEOUT) {
-            return false;
-        }
-        self.saving.insert(key, now);
+        self.saving.insert((salt.clone(), part), now);
         true
     }
 
+    /// Returns whether this instance is saving the part.
+    pub fn is_saving(&self, salt: &Arc<str>, part: u64, now: Millis) -> bool {
+        let at = self.saving.get(&(salt.clone(), part));
+        at.is_some_and(|at| now.since(*at) < SAVE_TIMEOUT)
+    }
+
     /// Returns the start of the store that the contents belong to.
     pub fn epoch(&self) -> Option<u64> {
         self.epoch
--- a/damaskdrift_core/src/kept/plan.rs
+++ b/damaskdrift_core/src/kept/plan.rs
@@ -116,9 +116,7 @@
                 continue;
             }
             is_any = true;
-            if !self.home(part.id)?.contents.holds(salt, part.id, part.tokens, now) {
-                return None;
-            }
+            self.ranked(part.id).into_iter().find(|id| self.holds(id, salt, *part, now))?;
         }
         is_any.then_some(Millis(FETCH_MS))
     }
@@ -129,31 +127,46 @@
         for (index, part) in parts.iter().enumerate() {
             // The last part belongs to this request alone.
             let is_kept = index + 1 < parts.len() && part.tokens >= MIN_TOKENS;
-            let home = if is_kept { self.home_mut(part.id) } else { None };
-            let Some(store) = home else {
-                steps.push(Step::Read);
-                continue;
-            };
-            let room = store.record.capacity_tokens.saturating_sub(part.tokens);
-            if store.contents.holds(salt, part.id, part.tokens, now) {
-                steps.push(Step::Fetch(store.record.address));
-            } else if store.contents.begin_save(salt, part.id, room, now) {
-                steps.push(Step::Save(store.record.address));
-            } else {
-                steps.push(Step::Read);
-            }
+            steps.push(if is_kept { self.step(salt, *part, now) } else { Step::Read });
         }
         Plan { steps }
     }
 
-    /// Returns the store that keeps a part: rendezvous hashing weighted by room, so that all
-    /// instances agree without a message and a store that comes or goes moves few parts.
-    fn home(&self, part: u64) -> Option<&Store> {
-        self.all.values().max_by(|a, b| score(a, part).total_cmp(&score(b, part)))
+    /// Returns the stores in the order in which they are asked to keep a part: rendezvous hashing
+    /// weighted by room, so that all instances agree without a message and a store that comes or
+    /// goes moves few parts.
+    fn ranked(&self, part: u64) -> Vec<id::Upstream> {
+        let mut ranked: Vec<_> =
+            self.all.iter().map(|(id, store)| (score(store, part), id.clone())).collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn holds(&self, store: &id::Upstream, salt: &str, part: Part, now: Millis) -> bool {
+        let store = self.all.get(store);
+        store.is_some_and(|store| store.contents.holds(salt, part.id, part.tokens, now))
     }
 
-    fn home_mut(&mut self, part: u64) -> Option<&mut Store> {
-        self.all.values_mut().max_by(|a, b| score(a, part).total_cmp(&score(b, part)))
+    /// Fetches a part from the first store that holds it, else saves it to the first with room.
+    fn step(&mut self, salt: &Arc<str>, part: Part, now: Millis) -> Step {
+        let ranked = self.ranked(part.id);
+        if let Some(id) = ranked.iter().find(|id| self.holds(id, salt, part, now)) {
+            return Step::Fetch(self.all[id].record.address);
+        }
+        let is_saving = |store: &Store| store.contents.is_saving(salt, part.id, now);
+        if self.all.values().any(is_saving) {
+            return Step::Read;
+        }
+        for id in &ranked {
+            let Some(store) = self.all.get_mut(id) else {
+                continue;
+            };
+            let room = store.record.capacity_tokens.saturating_sub(part.tokens);
+            if store.contents.begin_save(salt, part.id, room, now) {
+                return Step::Save(store.record.address);
+            }
+        }
+        Step::Read
     }
 }
 
--- a/damaskdrift_core/src/weights/mod.rs
+++ b/damaskdrift_core/src/weights/mod.rs
@@ -5,9 +5,10 @@
 use crate::id;
 use crate::time::Millis;
 
-/// Share of a service's upstreams that load weights at once: with a sixth of them away the rest
-/// bear the load, and the loads of all take six times as long as one.
-const WAVE_DIVISOR: usize = 6;
+/// Share of a service's upstreams with an order under way: with a quarter of them away the rest
+/// bear the load. An order counts until a report shows its end, which is late by about half the
+/// time of a load, so about a sixth load at any moment.
+const WAVE_DIVISOR: usize = 4;
 /// How long an order may take until its upstream is seen to have carried it out; a late one may
 /// be carried out up to 12 s after it was sent.
 const ORDER_LIFE: Millis = Millis(2_500);
