--- a/damaskdrift/src/entry/directory.rs
+++ b/damaskdrift/src/entry/directory.rs
@@ -15,9 +15,13 @@
 
 /// How long a watch waits without a change. Its end confirms the configuration, so it bounds how
 /// late silence of the store is noticed.
-const WATCH_WAIT: Millis = Millis(1_000);
-/// Least time between two watches; changes that come in quick succession share a call.
+const WATCH_WAIT: Millis = Millis(1_500);
+/// Pause after a watch with changes, so that changes in quick succession share a call.
 const WATCH_PACE: Duration = Duration::from_millis(60);
+/// What each instance adds to that pause, since every change wakes them all.
+const WATCH_PACE_PER_INSTANCE: Duration = Duration::from_millis(5);
+/// Longest such pause: a quarter of the shortest bound within which a change has to take effect.
+const LONGEST_WATCH_PACE: Duration = Duration::from_millis(500);
 /// Pauses after a failed call of the store, doubled up to the longer one.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
 /// Time after the store's return in which a live upstream whose entry lapsed registers again.
@@ -68,7 +72,8 @@
                 confirm(entry, asked);
                 link.expire(entry);
                 if is_change {
-                    tokio::time::sleep(WATCH_PACE).await;
+                    let pace = WATCH_PACE + WATCH_PACE_PER_INSTANCE * entry.instance_count();
+                    tokio::time::sleep(pace.min(LONGEST_WATCH_PACE)).await;
                 }
             }
             Err(port::StoreError::HistoryLost) => {
--- a/damaskdrift/src/entry/peers.rs
+++ b/damaskdrift/src/entry/peers.rs
@@ -9,16 +9,18 @@
 use damaskdrift_core::id;
 use damaskdrift_core::time::Millis;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 use tokio::task;
 
 use crate::entry::clock;
 use crate::entry::listener;
 use crate::entry::state;
+use crate::entry::stores;
 use crate::peer::{Error, message, socket};
 
-/// Pause after a report, so that changes that come together share one.
-const PACE: Duration = Duration::from_millis(10);
+/// Pause after a report for each instance, so that changes that come together share one and the
+/// number of reports that an instance gets does not rise with the fleet.
+const PACE_PER_INSTANCE: Duration = Duration::from_millis(2);
 /// Longest time between two reports; a report counts for 1.5 s.
 const REFRESH: Duration = Duration::from_millis(500);
 /// Longest time to send a report; a peer that takes none for so long is connected to again.
@@ -53,8 +55,11 @@
     loop {
         let received = tokio::time::timeout(SILENCE, socket::receive(&mut stream)).await;
         let silent = || Error::Unreachable("the peer is silent".to_owned());
-        if let message::Frame::Load(load) = received.map_err(|_| silent())?? {
-            apply(entry, load);
+        match received.map_err(|_| silent())?? {
+            message::Frame::Load(load) => apply(entry, load),
+            message::Frame::Kept(kept) => stores::hear(entry, kept),
+            // Frames of the product's own interface do not concern an entry instance here.
+            _ => {}
         }
     }
 }
@@ -89,7 +94,7 @@
         let _ = tokio::time::timeout(REFRESH, entry.load_changed.notified()).await;
         entry.upstreams.borrow_mut().sum_peers(clock::now());
         tx.send_replace(report(&entry));
-        tokio::time::sleep(PACE).await;
+        tokio::time::sleep(PACE_PER_INSTANCE * entry.instance_count()).await;
     }
 }
 
@@ -152,8 +157,20 @@
 ) -> Result<(), Error> {
     let mut stream = socket::within(socket::open(peer.1)).await?;
     let silent = |_| Error::Unreachable("the peer takes no report".to_owned());
-    while entry.peers().contains(peer) && reports.changed().await.is_ok() {
-        let frame = reports.borrow_and_update().clone();
+    let mut relayed = entry.relayed.subscribe();
+    while entry.peers().contains(peer) {
+        let frame = tokio::select! {
+            changed = reports.changed() => match changed {
+                Ok(()) => Rc::new(reports.borrow_and_update().clone()),
+                Err(_) => break,
+            },
+            frame = relayed.recv() => match frame {
+                Ok(frame) => frame,
+                // The peer notices the gap and lists the store.
+                Err(broadcast::error::RecvError::Lagged(_)) => continue,
+                Err(broadcast::error::RecvError::Closed) => break,
+            },
+        };
         let sent = tokio::time::timeout(SEND_TIMEOUT, socket::send(&mut stream, &frame)).await;
         sent.map_err(silent)??;
     }
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -13,7 +13,7 @@
 use damaskdrift_core::time::Millis;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, broadcast};
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::client;
@@ -21,6 +21,7 @@
 use crate::entry::port;
 use crate::entry::retry;
 use crate::entry::settings;
+use crate::peer::message;
 
 /// Instances assumed before the platform's store listed any.
 const ASSUMED_INSTANCES: u32 = 16;
@@ -45,6 +46,10 @@
     pub shown: BTreeMap<id::Upstream, (balance::Weights, Millis)>,
 }
 
+/// Frames that wait to be passed on to a peer; one that falls behind misses the oldest and lists
+/// the stores itself.
+const RELAY_QUEUE: usize = 64;
+
 /// State that the tasks of an entry instance share. No borrow is held across an await.
 #[derive(Debug)]
 pub struct Entry {
@@ -80,6 +85,8 @@
     pub rng: RefCell<ChaCha8Rng>,
     /// Set when this instance's work at upstreams has changed much.
     pub load_changed: Notify,
+    /// What this instance passes on to all others.
+    pub relayed: broadcast::Sender<Rc<message::Frame>>,
     /// Upstreams that load weights by order of this instance, and the weights that upstreams
     /// showed since; other instances are told.
     pub seen_weights: RefCell<SeenWeights>,
@@ -109,6 +116,7 @@
             stopping: CancellationToken::new(),
             requests: Cell::new(0),
             load_changed: Notify::new(),
+            relayed: broadcast::Sender::new(RELAY_QUEUE),
             seen_weights: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             instances: RefCell::default(),
@@ -133,6 +141,13 @@
         self.instances.borrow_mut().insert(instance, Member { address, until });
     }
 
+    /// Returns what this instance does to know what a store holds.
+    pub fn role(&self, store: &id::Upstream) -> kept::Role {
+        let instances = self.instances.borrow();
+        let live = instances.iter().filter(|(_, member)| member.until.is_none());
+        kept::role(store, &self.settings.instance, live.map(|(id, _)| id))
+    }
+
     /// Returns the other registered instances with their addresses.
     pub fn peers(&self) -> Vec<(id::Instance, net::SocketAddr)> {
         let instances = self.instances.borrow();
--- a/damaskdrift/src/entry/stores.rs
+++ b/damaskdrift/src/entry/stores.rs
@@ -13,10 +13,14 @@
 use crate::entry::client;
 use crate::entry::clock;
 use crate::entry::state;
+use crate::peer::message;
 
 /// How long a question for events waits. It is below the age at which a store's contents are no
 /// longer trusted.
 const EVENT_WAIT: Millis = Millis(500);
+/// Time taken off the age of a relayed answer for its way; a relay that is slower than this is
+/// caught by the bound on how long a peer may be silent.
+const RELAY_TIME: Millis = Millis(200);
 /// Pause after a failed question.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How often the configured stores are compared with those that are followed.
@@ -48,7 +52,12 @@
             }
             stores.contents(&store.id).map_or(0, |contents| contents.next)
         };
-        let result = ask(&entry, &store, since).await;
+        let role = entry.role(&store.id);
+        if role == kept::Role::Listener {
+            tokio::time::sleep(COMPARE_PAUSE).await;
+            continue;
+        }
+        let result = ask(&entry, &store, since, role).await;
         match &result {
             Ok(()) if !was_reached => log::info!(store:% = store.id; "store is reached again"),
             Err(failure) if was_reached => {
@@ -67,26 +76,112 @@
     entry: &Rc<state::Entry>,
     store: &routing::Store,
     since: u64,
+    role: kept::Role,
 ) -> Result<(), client::Failure> {
     let asked = clock::now();
     let page = entry.port.events(store.address, since, EVENT_WAIT).await?;
     let is_gap = page.is_gap;
     let is_restart = update(entry, store, &page, asked);
+    if role == kept::Role::Relay && !is_gap {
+        relay(entry, store, &page, since, asked);
+    }
     if is_restart || is_gap {
         log::info!(store:% = store.id, epoch = page.epoch, is_restart, is_gap; "listing a store");
-        let asked = clock::now();
-        let list = entry.port.held(store.address).await?;
-        update(entry, store, &list, asked);
+        list(entry, store, role).await?;
     }
     Ok(())
 }
 
-fn update(entry: &state::Entry, store: &routing::Store, page: &kept::Page, asked: Millis) -> bool {
+/// Lists all that a store holds.
+async fn list(
+    entry: &Rc<state::Entry>,
+    store: &routing::Store,
+    role: kept::Role,
+) -> Result<(), client::Failure> {
+    let asked = clock::now();
+    let list = entry.port.held(store.address).await?;
+    update(entry, store, &list, asked);
+    if role == kept::Role::Relay {
+        relay(entry, store, &list, 0, asked);
+    }
+    Ok(())
+}
+
+/// Passes an answer of a store on to the instances that do not ask it.
+fn relay(
+    entry: &state::Entry,
+    store: &routing::Store,
+    page: &kept::Page,
+    since: u64,
+    asked: Millis,
+) {
+    let mut events = Vec::with_capacity(page.events.len());
+    for event in &page.events {
+        events.push((event.is_stored, event.salt.clone(), event.part, event.tokens));
+    }
+    let frame = message::Frame::Kept(message::Kept {
+        store: store.id.to_string(),
+        epoch: page.epoch,
+        range: (since, page.next),
+        age_ms: clock::now().since(asked).0,
+        is_list: page.is_list,
+        events,
+        clock_ms: page.clock_ms,
+    });
+    // Without a connected peer there is nobody to tell.
+    let _ = entry.relayed.send(Rc::new(frame));
+}
+
+/// Takes an answer into account that another instance passed on.
+pub fn hear(entry: &Rc<state::Entry>, relayed: message::Kept) {
     let now = clock::now();
+    let id = id::Upstream::new(&relayed.store);
+    if entry.role(&id) != kept::Role::Listener {
+        return;
+    }
+    let mut events = Vec::with_capacity(relayed.events.len());
+    for (is_stored, salt, part, tokens) in relayed.events {
+        events.push(kept::Event { is_stored, salt, part, tokens });
+    }
+    let page = kept::Page {
+        epoch: relayed.epoch,
+        next: relayed.range.1,
+        is_gap: false,
+        is_list: relayed.is_list,
+        events,
+        clock_ms: relayed.clock_ms,
+    };
+    let asked = now - Millis(relayed.age_ms) - RELAY_TIME;
+    set_clock(entry, &page, now);
+    let mut stores = entry.stores.borrow_mut();
+    let Some(contents) = stores.contents_mut(&id) else {
+        return;
+    };
+    let is_gap = contents.relay(&page, relayed.range.0, asked, now) == kept::Relayed::Gap;
+    if !is_gap || !contents.begin_list(now) {
+        return;
+    }
+    let store = stores.records().into_iter().find(|store| store.id == id);
+    if let Some(store) = store {
+        let entry = entry.clone();
+        task::spawn_local(async move {
+            if let Err(failure) = list(&entry, &store, kept::Role::Listener).await {
+                log::info!(store:% = store.id, cause:% = failure; "store cannot be listed");
+            }
+        });
+    }
+}
+
+fn set_clock(entry: &state::Entry, page: &kept::Page, now: Millis) {
     if let (Some(clock_ms), Ok(now)) = (page.clock_ms, i64::try_from(now.0)) {
         let difference = i64::try_from(clock_ms).unwrap_or(i64::MAX) - now;
         entry.upstream_clock.set(Some(difference));
     }
+}
+
+fn update(entry: &state::Entry, store: &routing::Store, page: &kept::Page, asked: Millis) -> bool {
+    let now = clock::now();
+    set_clock(entry, page, now);
     let mut stores = entry.stores.borrow_mut();
     stores.contents_mut(&store.id).is_some_and(|contents| contents.update(page, asked, now))
 }
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -28,6 +28,35 @@
     /// What an entry instance has at upstreams; a later one replaces it.
     #[serde(rename = "l")]
     Load(Load),
+    /// What a store of kept KV cache answered.
+    #[serde(rename = "k")]
+    Kept(Kept),
+}
+
+/// What a store of kept KV cache answered to the sender.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Kept {
+    /// The store.
+    #[serde(rename = "s")]
+    pub store: String,
+    /// The start of the store.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// Where the question began and where the next one begins.
+    #[serde(rename = "r")]
+    pub range: (u64, u64),
+    /// Milliseconds since the question was asked.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Whether the answer lists all that is held.
+    #[serde(rename = "l")]
+    pub is_list: bool,
+    /// Whether a part was stored, its salt, its id and its tokens.
+    #[serde(rename = "v")]
+    pub events: Vec<(bool, String, u64, u64)>,
+    /// The store's clock, in milliseconds.
+    #[serde(rename = "c")]
+    pub clock_ms: Option<u64>,
 }
 
 /// What an entry instance has at upstreams, and what it saw of their weights.
--- a/damaskdrift_core/src/kept/contents.rs
+++ b/damaskdrift_core/src/kept/contents.rs
@@ -9,8 +9,11 @@
 pub const TRUST: Millis = Millis(1_000);
 /// Span after a restart in which nothing is saved to a store. By its end each instance has
 /// either seen the restart or stopped to trust what it knows, so none fetches a part under its
-/// old entry while the part is written anew.
-pub const SETTLE: Millis = Millis(1_500);
+/// old entry while the part is written anew. It covers [`TRUST`] and the 2 s for which a relayed
+/// answer can be held up before its connection counts as silent.
+pub const SETTLE: Millis = Millis(3_500);
+/// Least time between two lists of a store by one instance.
+const LIST_PAUSE: Millis = Millis(3_000);
 /// Time after which a save that no event confirmed may be tried again.
 const SAVE_TIMEOUT: Millis = Millis(6_000);
 
@@ -44,6 +47,15 @@
     pub clock_ms: Option<u64>,
 }
 
+/// What an instance does with a page that another one read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Relayed {
+    /// The page continues what is known.
+    Applied,
+    /// Events between are missing; the store has to be listed.
+    Gap,
+}
+
 /// What one store holds.
 #[derive(Debug, Default)]
 pub struct Contents {
@@ -54,6 +66,7 @@
     used: u64,
     saving: HashMap<(Arc<str>, u64), Millis>,
     confirmed: Option<Millis>,
+    listed: Option<Millis>,
     settled: Millis,
 }
 
@@ -81,6 +94,22 @@
         is_restart
     }
 
+    /// Takes a page into account that another instance asked for at `asked`, with events after
+    /// `since`.
+    pub fn relay(&mut self, page: &Page, since: u64, asked: Millis, now: Millis) -> Relayed {
+        let is_next = self.epoch == Some(page.epoch) && since <= self.next;
+        if !page.is_list && (!is_next || page.is_gap) {
+            return Relayed::Gap;
+        }
+        if page.next < self.next && self.epoch == Some(page.epoch) {
+            // An older page of a slower relay; what it tells is known.
+            return Relayed::Applied;
+        }
+        let asked = self.confirmed.map_or(asked, |before| before.max(asked));
+        self.update(page, asked, now);
+        Relayed::Applied
+    }
+
     fn apply(&mut self, event: &Event) {
         let salt: Arc<str> = Arc::from(event.salt.as_str());
         self.saving.remove(&(salt.clone(), event.part));
@@ -93,6 +122,15 @@
         }
     }
 
+    /// Returns whether the store may be listed now, and notes that it is. Listing stalls a store.
+    pub fn begin_list(&mut self, now: Millis) -> bool {
+        if self.listed.is_some_and(|at| now.since(at) < LIST_PAUSE) {
+            return false;
+        }
+        self.listed = Some(now);
+        true
+    }
+
     /// Returns whether the store answered lately enough to act on what is known of it.
     pub fn is_trusted(&self, now: Millis) -> bool {
         self.confirmed.is_some_and(|at| now.since(at) <= TRUST)
