--- a/damaskdrift/src/entry/forward.rs
+++ b/damaskdrift/src/entry/forward.rs
@@ -37,6 +37,8 @@
 /// Time for which an upstream that refused a request as full gets no other, while others have
 /// room. It is about the time in which a request there ends.
 const FULL_AVOIDANCE: Millis = Millis(100);
+/// The same for an upstream that most likely loads weights; a load takes about half a second.
+const LOADING_AVOIDANCE: Millis = Millis(400);
 /// Time that must be left to send a request to an upstream.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
 /// Waits that are announced to callers which may come back.
@@ -501,11 +503,23 @@
     }
 
     fn avoid(&self, id: &id::Upstream) {
+        let now = clock::now();
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(id) {
-            upstream.avoid_until = clock::now() + FULL_AVOIDANCE;
+            let span = if self.is_behind(upstream) { LOADING_AVOIDANCE } else { FULL_AVOIDANCE };
+            upstream.avoid_until = upstream.avoid_until.max(now + span);
         }
     }
 
+    /// Returns whether an upstream has older weights than the newest named, so that it most likely
+    /// refuses because it loads them.
+    fn is_behind(&self, upstream: &balance::Upstream) -> bool {
+        let Some(prompt) = &self.call.prompt else {
+            return false;
+        };
+        let newest = self.entry.named.borrow().get(&prompt.model).map(|(version, _)| *version);
+        newest > upstream.version(&prompt.model)
+    }
+
     /// Learns from the refusal of an upstream that is another one, or has other weights.
     fn misdirected(
         &self,
