--- a/damaskdrift/src/caller/answer.rs
+++ b/damaskdrift/src/caller/answer.rs
@@ -12,7 +12,7 @@
 const VERSION: HeaderName = HeaderName::from_static("x-version");
 
 /// Headers that belong to one connection and are never passed on.
-const HOP_BY_HOP: [HeaderName; 7] = [
+pub const HOP_BY_HOP: [HeaderName; 7] = [
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
--- a/damaskdrift/src/caller/mod.rs
+++ b/damaskdrift/src/caller/mod.rs
@@ -1,6 +1,6 @@
 //! Callers' HTTP listener.
 
-mod answer;
+pub mod answer;
 mod attempts;
 mod completion;
 mod once;
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -1,5 +1,7 @@
 //! Tests of the choice of an upstream.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic like tests")]
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use damaskdrift_core::balance;
--- a/damaskdrift_core/tests/entry.rs
+++ b/damaskdrift_core/tests/entry.rs
@@ -158,7 +158,7 @@
     let member = |(index, version): (usize, &u64)| weights::Member {
         id: id::Upstream::new(&format!("u{index:02}")),
         version: *version,
-        running: u32::try_from(versions.len() - index).unwrap(),
+        running: u32::try_from(versions.len() - index).expect("few upstreams"),
     };
     versions.iter().enumerate().map(member).collect()
 }
--- a/damaskdrift_core/tests/kept.rs
+++ b/damaskdrift_core/tests/kept.rs
@@ -1,5 +1,7 @@
 //! Tests of kept parts of prompts: what is fetched, saved and freed.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic like tests")]
+
 use std::collections::BTreeSet;
 use std::net;
 use std::sync::Arc;
