--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -242,6 +242,11 @@
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(id) {
             let span = if self.is_behind(upstream) { LOADING_AVOIDANCE } else { FULL_AVOIDANCE };
             upstream.avoid_until = upstream.avoid_until.max(now + span);
+            if self.is_behind(upstream) {
+                let loading = &mut self.entry.seen_weights.borrow_mut().loading;
+                loading.insert(id.clone(), now + LOADING_AVOIDANCE);
+                self.entry.load_changed.notify_one();
+            }
         }
     }
 
@@ -279,6 +284,12 @@
             let newest = self.entry.named.borrow().get(&prompt.model).map_or(0, |named| named.0);
             let likely = version.unwrap_or_else(|| (believed + 1).min(newest.max(believed)));
             upstream.set_version(&prompt.model, likely, now);
+            if version.is_some() {
+                // Each instance would otherwise learn it from a refusal of its own.
+                let weights = balance::Weights { model: prompt.model.clone(), version: likely };
+                self.entry.seen_weights.borrow_mut().shown.insert(id.clone(), (weights, now));
+                self.entry.load_changed.notify_one();
+            }
         }
         "the upstream has other weights".to_owned()
     }
