Never say that a repeatable request has not run when an earlier send may have

Cause: a repeatable request whose first send got no usable answer was refused with 503 and 'not-run' if its second send was refused and the repeats were used up, or if the configuration expired between the two. Found by reading. The attempt loop now notes that a send may have run and takes the promise back in one place.

Also from the reading: one function for the expected time of a first piece instead of the read rate written twice, names for two bare numbers, a right comment on the lowest rank.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -51,6 +51,8 @@
     pub tried: Vec<id::Upstream>,
     /// How often a byte of it may have left.
     pub sends: u32,
+    /// Whether a send may have run without its answer being passed on.
+    pub may_have_run: bool,
 }
 
 /// What became of one send.
@@ -73,10 +75,19 @@
     ///
     /// Returns the answer that the instance gives itself.
     pub async fn run(mut self) -> Result<Response<relay::Body>, refusal::Refusal> {
+        let result = self.attempt().await;
+        // A later send that was refused says nothing of an earlier one.
+        let may_have_run = self.may_have_run;
+        result.map_err(|refusal| if may_have_run { refusal.into_unknown() } else { refusal })
+    }
+
+    async fn attempt(&mut self) -> Result<Response<relay::Body>, refusal::Refusal> {
         let mut last = String::new();
         loop {
             if self.left().is_some_and(|left| left < LEAST_LEFT) {
-                return Err(self.out_of_time(&last));
+                let reason = format!("no time left; {last}");
+                let code = code::Code::DeadlineUnreachable;
+                return Err(refusal::Refusal::not_run(code, reason));
             }
             if self.call.key.is_some() && self.entry.trust() == config_sync::Trust::Expired {
                 return Err(forward::stale(self.entry));
@@ -85,7 +96,6 @@
                 Ok(choice) => choice,
                 Err(unavailable) => return Err(self.unavailable(unavailable, &last)),
             };
-            let can_repeat = self.route.repeat == routing::Repeat::Any;
             match self.send(&upstream, unread).await {
                 Outcome::Answered(response) => return Ok(response),
                 Outcome::Refused(refusal) => return Err(refusal),
@@ -94,13 +104,14 @@
                     last = reason;
                     if !self.may_repeat() {
                         let code = code::Code::Overloaded;
-                        return Err(forward::come_back(
-                            self.entry,
-                            refusal::Refusal::not_run(code, format!("{upstream}: {last}")),
-                        ));
+                        let reason = format!("{upstream}: {last}");
+                        let refusal = refusal::Refusal::not_run(code, reason);
+                        return Err(forward::come_back(self.entry, refusal));
                     }
                 }
                 Outcome::Unknown(code, reason) => {
+                    self.may_have_run = true;
+                    let can_repeat = self.route.repeat == routing::Repeat::Any;
                     let is_last = self.sends >= self.route.attempts;
                     if !can_repeat || is_last || !self.may_repeat() {
                         let reason = format!("{upstream}: {reason}");
@@ -118,23 +129,7 @@
         self.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()))
     }
 
-    fn out_of_time(&self, last: &str) -> refusal::Refusal {
-        if self.sends == 0 {
-            refusal::Refusal::not_run(
-                code::Code::DeadlineUnreachable,
-                format!("no time left; {last}"),
-            )
-        } else {
-            // Sends before were not run, or the loop would have ended with their outcome unless
-            // the request may be repeated.
-            refusal::Refusal::unknown(code::Code::UpstreamTimeout, format!("no time left; {last}"))
-        }
-    }
-
     fn unavailable(&self, unavailable: balance::Unavailable, last: &str) -> refusal::Refusal {
-        if self.route.repeat == routing::Repeat::Any && self.sends > 0 {
-            return refusal::Refusal::unknown(code::Code::UpstreamBroken, last);
-        }
         let (code, reason) = match unavailable {
             balance::Unavailable::None => (code::Code::NoUpstream, "no upstream takes work"),
             balance::Unavailable::Limits(_) => (code::Code::Overloaded, "upstreams are at limits"),
--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -113,6 +113,7 @@
         deadline,
         tried: Vec::new(),
         sends: 0,
+        may_have_run: false,
     };
     job.run().await
 }
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -27,16 +27,18 @@
 use crate::entry::relay;
 
 /// Longest wait for the first piece of an answer that may be asked for elsewhere, in percent of the
-/// route's target: by then the target is missed and another upstream is the better bet. An earlier second
-/// send adds work where work waits already.
+/// route's target: by then the target is missed and another upstream is the better bet. An
+/// earlier second send adds work where work waits already.
 const FIRST_PIECE_PERCENT: u64 = 200;
 /// Time for which an upstream that refused a request as full gets no other, while others have
 /// room. It is about the time in which a request there ends.
 const FULL_AVOIDANCE: Millis = Millis(100);
 /// The same for an upstream that most likely loads weights; a load takes about half a second.
 const LOADING_AVOIDANCE: Millis = Millis(400);
-/// Priority of a request at engines when neither route nor workspace has one.
-const MOST_PRIORITY: u8 = 9;
+/// The lowest rank that engines know.
+const LOWEST_RANK: u8 = 9;
+/// Largest answer that is read to its end only to keep its connection, in bytes.
+const MAX_UNUSED_BYTES: usize = 64 << 10;
 
 impl job::Job<'_> {
     /// Sends the request to an upstream that has to read so many tokens of its prompt.
@@ -74,7 +76,7 @@
         self.sends += 1;
         let tokens = self.call.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
         let sent = balance::Sent { tokens, unread };
-        let expected = Millis(if self.call.prompt.is_some() { 20 + unread / 60 } else { 0 });
+        let expected = self.call.prompt.as_ref().map(|_| balance::expected_first_piece(unread));
         let flight = relay::Flight::new(self.entry, id, sent, expected);
         let response = match self.exchange(&mut conn, req).await {
             Ok(Ok(response)) => response,
@@ -173,7 +175,7 @@
         let client = self.entry.client.clone();
         tokio::task::spawn_local(async move {
             // A failed read needs no report: the connection is dropped, the answer was judged.
-            if Limited::new(incoming, 64 << 10).collect().await.is_ok() {
+            if Limited::new(incoming, MAX_UNUSED_BYTES).collect().await.is_ok() {
                 client.pool().put(address, conn, &parts);
             }
         });
@@ -211,7 +213,7 @@
         }
         let workspace_priority = self.workspace.and_then(|workspace| workspace.priority);
         let engine = salt.as_deref().map(|salt| port::EngineForward {
-            priority: workspace_priority.unwrap_or(self.route.priority).min(MOST_PRIORITY),
+            priority: workspace_priority.unwrap_or(self.route.priority).min(LOWEST_RANK),
             salt,
             version,
             plan: &plan,
--- a/damaskdrift/src/entry/refusal.rs
+++ b/damaskdrift/src/entry/refusal.rs
@@ -35,6 +35,15 @@
         Self { code, outcome: code::Outcome::Unknown, retry_after: None, reason: reason.into() }
     }
 
+    /// Takes the promise back that the request has not run.
+    pub fn into_unknown(mut self) -> Self {
+        if self.outcome == code::Outcome::NotRun {
+            self.outcome = code::Outcome::Unknown;
+            self.retry_after = None;
+        }
+        self
+    }
+
     /// Says when the caller may come back.
     pub fn with_retry_after(mut self, after: Duration) -> Self {
         self.retry_after = Some(after);
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -29,7 +29,7 @@
     upstream: id::Upstream,
     sent: balance::Sent,
     since: Millis,
-    expected: Millis,
+    expected: Option<Millis>,
 }
 
 /// An answer that an instance broke off.
@@ -64,12 +64,13 @@
 }
 
 impl Flight {
-    /// Counts a request as sent; its first event is expected after `expected`.
+    /// Counts a request as sent; the first event of an engine is expected after
+    /// `expected`.
     pub fn new(
         entry: &Rc<state::Entry>,
         upstream: &id::Upstream,
         sent: balance::Sent,
-        expected: Millis,
+        expected: Option<Millis>,
     ) -> Self {
         let since = clock::now();
         if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(upstream) {
@@ -91,8 +92,8 @@
         metrics::histogram!("first_piece_seconds").record(took.0 as f64 / 1_000.0);
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
             upstream.read(&mut self.sent);
-            if self.expected > Millis(0) {
-                upstream.condition.observe_delay(took.since(self.expected), now);
+            if let Some(expected) = self.expected {
+                upstream.condition.observe_delay(took.since(expected), now);
             }
         }
     }
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -14,6 +14,8 @@
 /// Prompt tokens that an engine reads in a millisecond, before any was measured. Engines of the
 /// size the service is built for read 50 to 100.
 const READ_RATE: f64 = 60.0;
+/// Time of an engine's first step and of the way there and back.
+const FIRST_STEP: Millis = Millis(20);
 /// Time that each request in flight adds to a further one, in milliseconds: its share of a step.
 const IN_FLIGHT_MS: f64 = 2.0;
 /// Time for which a part of a prompt is expected to stay in an engine's memory after its use.
@@ -140,6 +142,11 @@
     }
 }
 
+/// Returns the time in which an engine without other work sends the first piece of an answer.
+pub fn expected_first_piece(unread: u64) -> Millis {
+    Millis(FIRST_STEP.0 + (unread as f64 / READ_RATE) as u64)
+}
+
 /// Returns the engines that requests with the same shared parts go to first. All instances find
 /// the same ones without a message.
 fn homes<'a>(members: &[&'a upstream::Upstream], need: &Need<'_>) -> [Option<&'a id::Upstream>; 2] {
