Pass reports and changes of the store on through relays

In fleets of more than ten, the two ablest instances of a failure domain are now relays: they watch the store, ask the stores of kept KV cache, sum up the work of their domain and pass all of it on. An instance confirms its configuration by the sending time that a relay echoes, so a frame that was held up confirms nothing late; when relays fall silent or miss a change it reads the store itself. Only relays claim the duty.

--- a/damaskdrift/src/entry/directory.rs
+++ b/damaskdrift/src/entry/directory.rs
@@ -6,24 +6,32 @@
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::membership;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::entry::clock;
 use crate::entry::port;
 use crate::entry::state;
+use crate::peer::message;
 
 /// How long a watch waits without a change. Its end confirms the configuration, so it bounds how
 /// late silence of the store is noticed.
 const WATCH_WAIT: Millis = Millis(1_500);
 /// Pause after a watch with changes, so that changes in quick succession share a call.
 const WATCH_PACE: Duration = Duration::from_millis(60);
-/// What each instance adds to that pause, since every change wakes them all.
-const WATCH_PACE_PER_INSTANCE: Duration = Duration::from_millis(5);
+/// What each instance that watches adds to that pause, since every change wakes them all.
+const WATCH_PACE_PER_WATCHER: Duration = Duration::from_millis(5);
 /// Longest such pause: a quarter of the shortest bound within which a change has to take effect.
 const LONGEST_WATCH_PACE: Duration = Duration::from_millis(500);
 /// Pauses after a failed call of the store, doubled up to the longer one.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
+/// Longest pause of an instance that also hears from relays.
+const LEAF_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// How often an instance that hears from relays looks whether they are still confirmed.
+const HEED_TICK: Duration = Duration::from_millis(100);
 /// Time after the store's return in which a live upstream whose entry lapsed registers again.
 const REGISTER_AGAIN: Millis = Millis(2_000);
 
@@ -35,8 +43,16 @@
     lapsed: BTreeMap<id::Upstream, Millis>,
 }
 
+/// Why an instance stopped to follow the store without reading it anew.
+enum Interrupted {
+    /// It is no longer confirmed that the installed revision is the newest.
+    Unconfirmed,
+    /// Changes in between are missing.
+    Gap,
+}
+
 /// Follows the store until the process ends.
-pub async fn run(entry: Rc<state::Entry>) {
+pub async fn run(entry: Rc<state::Entry>, mut changes: mpsc::Receiver<message::Changes>) {
     let mut link = Link { is_up: true, restored: Millis(0), lapsed: BTreeMap::new() };
     let mut pause = RETRY_PAUSE.0;
     loop {
@@ -45,38 +61,83 @@
             Ok(batch) => {
                 link.set_up(true, "list");
                 pause = RETRY_PAUSE.0;
-                let revision = batch.revision;
-                let present = apply(&entry, &mut link, batch.changes);
+                let present = apply(&entry, &mut link, &batch.items);
                 retain(&entry, &mut link, &present);
-                confirm(&entry, asked);
-                follow(&entry, &mut link, revision).await;
+                entry.follower.revision.set(batch.revision.max(entry.follower.revision.get()));
+                entry.confirm(asked);
+                follow(&entry, &mut link, &mut changes).await;
             }
             Err(error) => {
                 link.set_up(false, &error.to_string());
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(RETRY_PAUSE.1);
+                hear_for(&entry, &mut link, &mut changes, pause).await;
+                pause = (pause * 2).min(longest_pause(&entry));
             }
         }
     }
 }
 
-/// Watches the store from a revision on until a call fails.
-async fn follow(entry: &Rc<state::Entry>, link: &mut Link, mut revision: u64) {
+/// Returns the longest pause between two failed calls of the store. A relay may bring the store's
+/// word meanwhile, so a leaf asks less often.
+fn longest_pause(entry: &state::Entry) -> Duration {
+    match entry.layout().place {
+        membership::Place::Leaf => LEAF_RETRY_PAUSE,
+        membership::Place::Mesh | membership::Place::Relay => RETRY_PAUSE.1,
+    }
+}
+
+/// Applies changes that relays pass on while the store itself cannot be read.
+async fn hear_for(
+    entry: &Rc<state::Entry>,
+    link: &mut Link,
+    changes: &mut mpsc::Receiver<message::Changes>,
+    pause: Duration,
+) {
+    let until = Instant::now() + pause;
+    while let Ok(Some(passed_on)) = tokio::time::timeout_at(until, changes.recv()).await {
+        if hear(entry, link, &passed_on).is_err() {
+            return;
+        }
+    }
+    let now = clock::now();
+    if entry.layout().place == membership::Place::Leaf && entry.follower.is_confirmed(now) {
+        // Relays reach the store although this instance does not.
+        heed(entry, link, changes).await;
+    }
+}
+
+/// Follows the store from the installed revision on until it has to be read anew.
+async fn follow(
+    entry: &Rc<state::Entry>,
+    link: &mut Link,
+    changes: &mut mpsc::Receiver<message::Changes>,
+) {
     loop {
+        let is_leaf = entry.layout().place == membership::Place::Leaf;
+        if is_leaf && entry.follower.is_confirmed(clock::now()) {
+            match heed(entry, link, changes).await {
+                // The store itself tells whether this instance or its relays have lost it.
+                Interrupted::Unconfirmed => {}
+                Interrupted::Gap => return,
+            }
+        }
         let asked = clock::now();
-        match entry.port.watch(revision, WATCH_WAIT).await {
+        let before = entry.follower.revision.get();
+        match entry.port.watch(before, WATCH_WAIT).await {
             Ok(batch) => {
-                let is_change = !batch.changes.is_empty();
-                revision = revision.max(batch.revision);
-                apply(entry, link, batch.changes);
-                confirm(entry, asked);
+                let is_change = !batch.items.is_empty();
+                apply(entry, link, &batch.items);
+                pass_on(entry, link, before, &batch);
+                entry.follower.revision.set(before.max(batch.revision));
+                entry.confirm(asked);
                 link.expire(entry);
                 if is_change {
-                    let pace = WATCH_PACE + WATCH_PACE_PER_INSTANCE * entry.instance_count();
+                    let watchers = u32::try_from(entry.layout().watchers).unwrap_or(u32::MAX);
+                    let pace = WATCH_PACE + WATCH_PACE_PER_WATCHER.saturating_mul(watchers);
                     tokio::time::sleep(pace.min(LONGEST_WATCH_PACE)).await;
                 }
             }
             Err(port::StoreError::HistoryLost) => {
+                let revision = before;
                 log::info!(revision; "the store has dropped its history; reading everything again");
                 return;
             }
@@ -89,8 +150,78 @@
     }
 }
 
-fn confirm(entry: &state::Entry, asked: Millis) {
-    entry.confirmed.set(Some(entry.confirmed.get().map_or(asked, |before| before.max(asked))));
+/// Follows the store through relays until they no longer confirm the installed revision.
+async fn heed(
+    entry: &Rc<state::Entry>,
+    link: &mut Link,
+    changes: &mut mpsc::Receiver<message::Changes>,
+) -> Interrupted {
+    loop {
+        tokio::select! {
+            passed_on = changes.recv() => {
+                let Some(passed_on) = passed_on else {
+                    return Interrupted::Unconfirmed;
+                };
+                if let Err(interrupted) = hear(entry, link, &passed_on) {
+                    return interrupted;
+                }
+            }
+            () = entry.follower.must_read.notified() => return Interrupted::Gap,
+            () = tokio::time::sleep(HEED_TICK) => {}
+        }
+        link.expire(entry);
+        let is_leaf = entry.layout().place == membership::Place::Leaf;
+        if !is_leaf || !entry.follower.is_confirmed(clock::now()) {
+            return Interrupted::Unconfirmed;
+        }
+    }
+}
+
+/// Applies changes that a relay passed on.
+fn hear(
+    entry: &Rc<state::Entry>,
+    link: &mut Link,
+    passed_on: &message::Changes,
+) -> Result<(), Interrupted> {
+    let revision = entry.follower.revision.get();
+    let (from, to) = passed_on.range;
+    if to <= revision {
+        return Ok(());
+    }
+    if from > revision {
+        log::info!(revision, from; "changes of the store are missing; reading everything again");
+        return Err(Interrupted::Gap);
+    }
+    if let Some(ago_ms) = passed_on.restored_ago_ms {
+        link.restored = link.restored.max(clock::now() - Millis(ago_ms));
+    }
+    let mut items = Vec::new();
+    for (key, value, at) in &passed_on.items {
+        if *at > revision {
+            items.push(port::Item { key: key.clone(), value: value.clone(), revision: *at });
+        }
+    }
+    apply(entry, link, &items);
+    entry.follower.revision.set(to);
+    Ok(())
+}
+
+/// Passes changes on to the instances that this one is a relay of.
+fn pass_on(entry: &state::Entry, link: &Link, before: u64, batch: &port::Batch) {
+    if entry.layout().place != membership::Place::Relay || batch.revision <= before {
+        return;
+    }
+    let mut items = Vec::with_capacity(batch.items.len());
+    for item in &batch.items {
+        items.push((item.key.clone(), item.value.clone(), item.revision));
+    }
+    let restored_ago_ms = (link.restored > Millis(0)).then(|| clock::now().since(link.restored).0);
+    let range = (before, batch.revision);
+    let changes = message::Changes { range, items, restored_ago_ms };
+    let frame = Rc::new(message::Frame::Changes(changes));
+    entry.follower.keep(frame.clone());
+    // Without a connected peer there is nobody to tell.
+    let _ = entry.relayed.send(frame);
 }
 
 /// What a full read of the store listed.
@@ -102,9 +233,12 @@
     has_duty: bool,
 }
 
-fn apply(entry: &state::Entry, link: &mut Link, changes: Vec<port::Change>) -> Present {
+fn apply(entry: &state::Entry, link: &mut Link, items: &[port::Item]) -> Present {
     let mut present = Present::default();
-    for change in changes {
+    for item in items {
+        let Some(change) = entry.port.decode_item(item) else {
+            continue;
+        };
         match change {
             port::Change::Config(document) => install(entry, *document),
             port::Change::Upstream(record) => {
@@ -124,12 +258,12 @@
                     out.remove(&domain);
                 }
             }
-            port::Change::Instance(instance, address) => {
-                log::info!(instance:%, address:?; "instance changed");
-                if address.is_some() {
+            port::Change::Instance(instance, registration) => {
+                log::info!(instance:%, registration:?; "instance changed");
+                if registration.is_some() {
                     present.instances.insert(instance.clone());
                 }
-                entry.set_instance(instance, address);
+                entry.set_instance(instance, registration);
             }
             port::Change::Duty(holder) => {
                 log::info!(holder:? = holder.as_ref().map(|(id, fence)| (id.as_str(), fence.0)); "duty changed");
--- a/damaskdrift/src/entry/duty.rs
+++ b/damaskdrift/src/entry/duty.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use damaskdrift_core::id;
+use damaskdrift_core::membership;
 use damaskdrift_core::time::Millis;
 use rand::RngExt as _;
 
@@ -65,10 +66,12 @@
     Millis(DUTY_LIFE.0 / RENEWALS)
 }
 
-/// Renews the duty, or claims it if it is free.
+/// Renews the duty, or claims it if it is free. In a large fleet only relays claim it, so that few
+/// instances race for it, and able ones.
 pub async fn hold_duty(entry: &Rc<state::Entry>, held: &mut Option<Held>) {
     let is_taken = entry.duty.borrow().is_some();
-    if held.is_none() && is_taken {
+    let is_leaf = entry.layout().place == membership::Place::Leaf;
+    if held.is_none() && (is_taken || is_leaf) {
         return;
     }
     hold(entry, port::Entry::Duty, DUTY_LIFE, held).await;
@@ -105,7 +108,12 @@
         }
     };
     let settings = &entry.settings;
-    match entry.port.claim(kind, &settings.instance, settings.peers, lease).await {
+    let registration = port::Registration {
+        address: settings.peers,
+        domain: settings.domain.clone(),
+        capacity: settings.capacity,
+    };
+    match entry.port.claim(kind, &settings.instance, &registration, lease).await {
         Ok(Some(revision)) => {
             log::info!(kind:?, lease, revision; "entry claimed");
             let fence = id::FencingToken(revision);
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -245,8 +245,7 @@
             let span = if self.is_behind(upstream) { LOADING_AVOIDANCE } else { FULL_AVOIDANCE };
             upstream.avoid_until = upstream.avoid_until.max(now + span);
             if self.is_behind(upstream) {
-                let loading = &mut self.entry.seen_weights.borrow_mut().loading;
-                loading.insert(id.clone(), now + LOADING_AVOIDANCE);
+                self.entry.seen_weights.borrow_mut().note_loading(id, now + LOADING_AVOIDANCE);
                 self.entry.load_changed.notify_one();
             }
         }
@@ -289,7 +288,7 @@
             if version.is_some() {
                 // Each instance would otherwise learn it from a refusal of its own.
                 let weights = balance::Weights { model: prompt.model.clone(), version: likely };
-                self.entry.seen_weights.borrow_mut().shown.insert(id.clone(), (weights, now));
+                self.entry.seen_weights.borrow_mut().note_shown(id, weights, now);
                 self.entry.load_changed.notify_one();
             }
         }
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod directory;
 mod duty;
+mod follower;
 pub mod forward;
 mod listener;
 mod observe;
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -88,7 +88,18 @@
     Foreign(&'static str),
 }
 
-/// One change of what the platform's store holds.
+/// What an instance tells of itself where it registers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Registration {
+    /// Its address for other instances.
+    pub address: net::SocketAddr,
+    /// Its failure domain.
+    pub domain: id::FailureDomain,
+    /// What it can bear relative to other instances.
+    pub capacity: u32,
+}
+
+/// One change of what the platform's store holds, decoded.
 #[derive(Clone, Debug)]
 pub enum Change {
     /// A configuration.
@@ -101,21 +112,32 @@
     Weights(balance::Weights),
     /// Operators took a failure domain out, or back in.
     DomainOut(id::FailureDomain, bool),
-    /// An instance registered with its address for others, or its registration ended.
-    Instance(id::Instance, Option<net::SocketAddr>),
+    /// An instance registered, or its registration ended.
+    Instance(id::Instance, Option<Registration>),
     /// A duty was taken by an instance under a fencing number, or became free.
     Duty(Option<(id::Instance, id::FencingToken)>),
     /// An entry that cannot be used; the key and why.
     Unreadable(String, String),
 }
 
-/// Changes up to a revision.
+/// An item of the store as it was written, or removed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Item {
+    /// Its key.
+    pub key: String,
+    /// Its value in the store's own encoding; `None` when it was removed.
+    pub value: Option<String>,
+    /// Revision of the write or removal.
+    pub revision: u64,
+}
+
+/// Items up to a revision.
 #[derive(Clone, Debug)]
 pub struct Batch {
-    /// The revision of the store that the changes reach.
+    /// The revision of the store that the items reach.
     pub revision: u64,
-    /// The changes in order.
-    pub changes: Vec<Change>,
+    /// The items in order.
+    pub items: Vec<Item>,
 }
 
 /// A failed call of the platform's store.
@@ -211,6 +233,9 @@
     /// Reads everything that the store holds for the system.
     fn list(&self) -> LocalBoxFuture<'_, Result<Batch, StoreError>>;
 
+    /// Decodes an item; `None` for one that does not concern the system.
+    fn decode_item(&self, item: &Item) -> Option<Change>;
+
     /// Waits for changes after a revision.
     fn watch(&self, after: u64, wait: Millis) -> LocalBoxFuture<'_, Result<Batch, StoreError>>;
 
@@ -223,13 +248,13 @@
     /// Ends a lease; entries under it are removed.
     fn end(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 
-    /// Writes an entry of an instance, with its address for others, under a lease unless the entry
-    /// exists. Returns the revision of the write, or `None` if the entry exists.
+    /// Writes an entry of an instance under a lease unless the entry exists. Returns the revision
+    /// of the write, or `None` if the entry exists.
     fn claim<'a>(
         &'a self,
         entry: Entry,
         instance: &'a id::Instance,
-        address: net::SocketAddr,
+        registration: &'a Registration,
         lease: u64,
     ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
 
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -61,7 +61,7 @@
     let readiness = listen(settings.readiness).await?;
     let peers = listen(settings.peers).await?;
     let metrics = listen(settings.metrics).await?;
-    let entry = state::Entry::new(settings, port, client);
+    let (entry, changes) = state::Entry::new(settings, port, client);
     log::info!(
         instance:% = entry.settings.instance, domain:% = entry.settings.domain,
         callers:% = entry.settings.callers, version = env!("CARGO_PKG_VERSION");
@@ -73,7 +73,7 @@
     task::spawn_local(listener::serve_metrics(page, metrics));
     task::spawn_local(peers::listen(entry.clone(), peers));
     task::spawn_local(peers::run(entry.clone()));
-    task::spawn_local(directory::run(entry.clone()));
+    task::spawn_local(directory::run(entry.clone(), changes));
     task::spawn_local(stores::run(entry.clone()));
     task::spawn_local(observe::run(entry.clone()));
     let registration = task::spawn_local(duty::register(entry.clone()));
--- a/damaskdrift/src/entry/settings.rs
+++ b/damaskdrift/src/entry/settings.rs
@@ -13,6 +13,8 @@
     pub instance: id::Instance,
     /// Failure domain of the instance.
     pub domain: id::FailureDomain,
+    /// What the instance can bear relative to other instances; the ablest pass reports on.
+    pub capacity: u32,
     /// Address for callers.
     pub callers: net::SocketAddr,
     /// Address for the platform's readiness checks.
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -2,22 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net;
 use std::rc::Rc;
 
 use damaskdrift_core::balance;
 use damaskdrift_core::config_sync;
 use damaskdrift_core::id;
 use damaskdrift_core::kept;
+use damaskdrift_core::membership;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::{Notify, broadcast};
+use tokio::sync::{Notify, broadcast, mpsc};
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::retry;
 use crate::entry::settings;
@@ -30,25 +31,64 @@
 const INSTANCE_LINGER: Millis = Millis(10_000);
 
 /// A registered instance, or one that was until lately.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Member {
-    address: Option<net::SocketAddr>,
+    registration: port::Registration,
     /// Until when an instance counts whose registration ended.
     until: Option<Millis>,
 }
 
-/// What the holder of the duty saw of weights.
+/// Something that was seen at an upstream and is told to other instances.
+#[derive(Clone, Debug)]
+pub struct Seen<T> {
+    /// What was seen.
+    pub what: T,
+    /// Until when it is told.
+    pub until: Millis,
+    /// Who reported it; `None` for what this instance saw.
+    pub reporter: Option<balance::Reporter>,
+}
+
+/// What was seen of the weights of upstreams.
 #[derive(Debug, Default)]
 pub struct SeenWeights {
-    /// Upstreams that load weights, and until when this is told.
-    pub loading: BTreeMap<id::Upstream, Millis>,
-    /// Versions that upstreams showed, and when.
-    pub shown: BTreeMap<id::Upstream, (balance::Weights, Millis)>,
+    /// Upstreams that load weights; requests avoid them for as long as this is told.
+    pub loading: BTreeMap<id::Upstream, Seen<()>>,
+    /// Weights that upstreams showed.
+    pub shown: BTreeMap<id::Upstream, Seen<balance::Weights>>,
+}
+
+impl SeenWeights {
+    /// Notes that an upstream loads weights until some time.
+    pub fn note_loading(&mut self, upstream: &id::Upstream, until: Millis) {
+        self.loading.insert(upstream.clone(), Seen { what: (), until, reporter: None });
+    }
+
+    /// Notes the weights that an upstream showed to this instance.
+    pub fn note_shown(&mut self, upstream: &id::Upstream, weights: balance::Weights, now: Millis) {
+        let before = self.shown.get(upstream).map(|seen| seen.what.version);
+        if before.is_some_and(|before| before < weights.version) {
+            self.loading.remove(upstream);
+        }
+        let seen = Seen { what: weights, until: now + SHOWN_LIFE, reporter: None };
+        self.shown.insert(upstream.clone(), seen);
+    }
+
+    /// Forgets what is no longer told.
+    pub fn expire(&mut self, now: Millis) {
+        self.loading.retain(|_, seen| now < seen.until);
+        self.shown.retain(|_, seen| now < seen.until);
+    }
 }
 
+/// Time for which weights that an upstream showed are told; the platform's list has them by then.
+const SHOWN_LIFE: Millis = Millis(3_000);
 /// Frames that wait to be passed on to a peer; one that falls behind misses the oldest and lists
 /// the stores itself.
 const RELAY_QUEUE: usize = 64;
+/// Changes of the platform's store that wait to be applied; when they overflow, the store is read
+/// again.
+const CHANGES_QUEUE: usize = 256;
 
 /// State that the tasks of an entry instance share. No borrow is held across an await.
 #[derive(Debug)]
@@ -87,20 +127,26 @@
     pub load_changed: Notify,
     /// What this instance passes on to all others.
     pub relayed: broadcast::Sender<Rc<message::Frame>>,
-    /// Upstreams that load weights by order of this instance, and the weights that upstreams
-    /// showed since; other instances are told.
+    /// Upstreams that load weights, and the weights that upstreams showed; other instances are
+    /// told.
     pub seen_weights: RefCell<SeenWeights>,
+    /// What follows the platform's store through relays.
+    pub follower: follower::Follower,
+    /// Changes that relays passed on, in order.
+    pub changes: mpsc::Sender<message::Changes>,
     instances: RefCell<BTreeMap<id::Instance, Member>>,
+    layout: RefCell<Rc<membership::Layout>>,
 }
 
 impl Entry {
-    /// Creates the state of a new instance.
+    /// Creates the state of a new instance, and the queue of changes that relays pass on.
     pub fn new(
         settings: settings::Settings,
         port: Rc<dyn port::Port>,
         client: Rc<client::Client>,
-    ) -> Rc<Self> {
-        Rc::new(Self {
+    ) -> (Rc<Self>, mpsc::Receiver<message::Changes>) {
+        let (changes, queue) = mpsc::channel(CHANGES_QUEUE);
+        let entry = Rc::new(Self {
             repeats: RefCell::new(retry::Shares::new(settings.repeats)),
             settings,
             port,
@@ -119,8 +165,17 @@
             relayed: broadcast::Sender::new(RELAY_QUEUE),
             seen_weights: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
+            follower: follower::Follower::default(),
+            changes,
             instances: RefCell::default(),
-        })
+            layout: RefCell::default(),
+        });
+        (entry, queue)
+    }
+
+    /// Notes that the installed configuration was the newest at some time.
+    pub fn confirm(&self, at: Millis) {
+        self.confirmed.set(Some(self.confirmed.get().map_or(at, |before| before.max(at))));
     }
 
     /// Returns how far the configuration may be relied on.
@@ -136,23 +191,21 @@
     }
 
     /// Notes that an instance registered or that its registration ended.
-    pub fn set_instance(&self, instance: id::Instance, address: Option<net::SocketAddr>) {
-        let until = address.is_none().then(|| clock::now() + INSTANCE_LINGER);
-        self.instances.borrow_mut().insert(instance, Member { address, until });
-    }
-
-    /// Returns what this instance does to know what a store holds.
-    pub fn role(&self, store: &id::Upstream) -> kept::Role {
-        let instances = self.instances.borrow();
-        let live = instances.iter().filter(|(_, member)| member.until.is_none());
-        kept::role(store, &self.settings.instance, live.map(|(id, _)| id))
-    }
-
-    /// Returns the other registered instances with their addresses.
-    pub fn peers(&self) -> Vec<(id::Instance, net::SocketAddr)> {
-        let instances = self.instances.borrow();
-        let others = instances.iter().filter(|(id, _)| **id != self.settings.instance);
-        others.filter_map(|(id, member)| Some((id.clone(), member.address?))).collect()
+    pub fn set_instance(&self, instance: id::Instance, registration: Option<port::Registration>) {
+        {
+            let mut instances = self.instances.borrow_mut();
+            match registration {
+                Some(registration) => {
+                    instances.insert(instance, Member { registration, until: None });
+                }
+                None => {
+                    if let Some(member) = instances.get_mut(&instance) {
+                        member.until = Some(clock::now() + INSTANCE_LINGER);
+                    }
+                }
+            }
+        }
+        self.lay_out();
     }
 
     /// Notes which instances are registered; others end.
@@ -160,9 +213,45 @@
         let now = clock::now();
         for (instance, member) in &mut *self.instances.borrow_mut() {
             if !registered.contains(instance) && member.until.is_none() {
-                *member = Member { address: None, until: Some(now + INSTANCE_LINGER) };
+                member.until = Some(now + INSTANCE_LINGER);
             }
         }
+        self.lay_out();
+    }
+
+    /// Returns the place of this instance in the fleet.
+    pub fn layout(&self) -> Rc<membership::Layout> {
+        self.layout.borrow().clone()
+    }
+
+    /// Returns the address and the failure domain of a registered instance.
+    pub fn registration(&self, instance: &id::Instance) -> Option<port::Registration> {
+        let instances = self.instances.borrow();
+        let member = instances.get(instance).filter(|member| member.until.is_none())?;
+        Some(member.registration.clone())
+    }
+
+    fn lay_out(&self) {
+        let settings = &self.settings;
+        let instances = self.instances.borrow();
+        let live = instances.iter().filter(|(_, member)| member.until.is_none());
+        let members: Vec<_> = live
+            .map(|(id, Member { registration, .. })| membership::Member {
+                id,
+                domain: &registration.domain,
+                capacity: registration.capacity,
+            })
+            .collect();
+        let own = membership::Member {
+            id: &settings.instance,
+            domain: &settings.domain,
+            capacity: settings.capacity,
+        };
+        let layout = membership::layout(&members, &own);
+        let before = self.layout.replace(Rc::new(layout.clone()));
+        if before.place != layout.place {
+            log::info!(before:? = before.place, now:? = layout.place; "place in the fleet changed");
+        }
     }
 
     /// Returns how many instances share the bounds that hold for all together.
--- a/damaskdrift/src/entry/stores.rs
+++ b/damaskdrift/src/entry/stores.rs
@@ -6,6 +6,7 @@
 
 use damaskdrift_core::id;
 use damaskdrift_core::kept;
+use damaskdrift_core::membership;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use tokio::task;
@@ -52,12 +53,11 @@
             }
             stores.contents(&store.id).map_or(0, |contents| contents.next)
         };
-        let role = entry.role(&store.id);
-        if role == kept::Role::Listener {
+        if !entry.layout().is_observer {
             tokio::time::sleep(COMPARE_PAUSE).await;
             continue;
         }
-        let result = ask(&entry, &store, since, role).await;
+        let result = ask(&entry, &store, since).await;
         match &result {
             Ok(()) if !was_reached => log::info!(store:% = store.id; "store is reached again"),
             Err(failure) if was_reached => {
@@ -76,38 +76,31 @@
     entry: &Rc<state::Entry>,
     store: &routing::Store,
     since: u64,
-    role: kept::Role,
 ) -> Result<(), client::Failure> {
     let asked = clock::now();
     let page = entry.port.events(store.address, since, EVENT_WAIT).await?;
     let is_gap = page.is_gap;
     let is_restart = update(entry, store, &page, asked);
-    if role == kept::Role::Relay && !is_gap {
+    if !is_gap {
         relay(entry, store, &page, since, asked);
     }
     if is_restart || is_gap {
         log::info!(store:% = store.id, epoch = page.epoch, is_restart, is_gap; "listing a store");
-        list(entry, store, role).await?;
+        list(entry, store).await?;
     }
     Ok(())
 }
 
 /// Lists all that a store holds.
-async fn list(
-    entry: &Rc<state::Entry>,
-    store: &routing::Store,
-    role: kept::Role,
-) -> Result<(), client::Failure> {
+async fn list(entry: &Rc<state::Entry>, store: &routing::Store) -> Result<(), client::Failure> {
     let asked = clock::now();
     let list = entry.port.held(store.address).await?;
     update(entry, store, &list, asked);
-    if role == kept::Role::Relay {
-        relay(entry, store, &list, 0, asked);
-    }
+    relay(entry, store, &list, 0, asked);
     Ok(())
 }
 
-/// Passes an answer of a store on to the instances that do not ask it.
+/// Passes an answer of a store on to the instances that this one is a relay of.
 fn relay(
     entry: &state::Entry,
     store: &routing::Store,
@@ -115,6 +108,9 @@
     since: u64,
     asked: Millis,
 ) {
+    if entry.layout().place != membership::Place::Relay {
+        return;
+    }
     let mut events = Vec::with_capacity(page.events.len());
     for event in &page.events {
         events.push((event.is_stored, event.salt.clone(), event.part, event.tokens));
@@ -136,7 +132,7 @@
 pub fn hear(entry: &Rc<state::Entry>, relayed: message::Kept) {
     let now = clock::now();
     let id = id::Upstream::new(&relayed.store);
-    if entry.role(&id) != kept::Role::Listener {
+    if entry.layout().is_observer {
         return;
     }
     let mut events = Vec::with_capacity(relayed.events.len());
@@ -165,7 +161,7 @@
     if let Some(store) = store {
         let entry = entry.clone();
         task::spawn_local(async move {
-            if let Err(failure) = list(&entry, &store, kept::Role::Listener).await {
+            if let Err(failure) = list(&entry, &store).await {
                 log::info!(store:% = store.id, cause:% = failure; "store cannot be listed");
             }
         });
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -219,11 +219,7 @@
             }
             let mut seen = entry.seen_weights.borrow_mut();
             for weights in &report.weights {
-                let before = seen.shown.get(&id).map(|(before, _)| before.version);
-                if before.is_some_and(|before| before < weights.version) {
-                    seen.loading.remove(&id);
-                }
-                seen.shown.insert(id.clone(), (weights.clone(), clock::now()));
+                seen.note_shown(&id, weights.clone(), clock::now());
             }
             entry.load_changed.notify_one();
             Some(report)
@@ -259,7 +255,7 @@
     if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
         upstream.avoid_until = clock::now() + LOAD_AVOIDANCE;
     }
-    entry.seen_weights.borrow_mut().loading.insert(id.clone(), clock::now() + LOAD_AVOIDANCE);
+    entry.seen_weights.borrow_mut().note_loading(&id, clock::now() + LOAD_AVOIDANCE);
     entry.load_changed.notify_one();
     let order = port::Order {
         upstream: id.clone(),
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -31,6 +31,53 @@
     /// What a store of kept KV cache answered.
     #[serde(rename = "k")]
     Kept(Kept),
+    /// Changes of the platform's store.
+    #[serde(rename = "c")]
+    Changes(Changes),
+}
+
+/// Changes of the platform's store, as it told them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Changes {
+    /// Revision that the changes follow on, and revision that they reach.
+    #[serde(rename = "r")]
+    pub range: (u64, u64),
+    /// Key, value in the store's own encoding unless the key was removed, and revision.
+    #[serde(rename = "v")]
+    pub items: Vec<(String, Option<String>, u64)>,
+    /// Milliseconds since the sender saw the store return from an outage, if it saw one.
+    #[serde(rename = "o")]
+    pub restored_ago_ms: Option<u64>,
+}
+
+/// How current the sender's view of the platform's store is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct View {
+    /// Revision that the sender has installed.
+    #[serde(rename = "r")]
+    pub revision: u64,
+    /// Milliseconds since the store was asked for the answer that confirmed it.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// The sending time in the newest report that the sender had from the receiver. The age
+    /// counts from then, so that a frame which was held up on its way confirms nothing late.
+    #[serde(rename = "e")]
+    pub echo: u64,
+}
+
+/// Whose work a report tells.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Covers {
+    /// The sender's.
+    #[default]
+    #[serde(rename = "i")]
+    Own,
+    /// That of all instances of the sender's failure domain.
+    #[serde(rename = "d")]
+    Domain(String),
+    /// That of all instances but the receiver.
+    #[serde(rename = "o")]
+    Others,
 }
 
 /// What a store of kept KV cache answered to the sender.
@@ -59,21 +106,33 @@
     pub clock_ms: Option<u64>,
 }
 
-/// What an entry instance has at upstreams, and what it saw of their weights.
+/// Work at upstreams, and what was seen of their weights.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Load {
     /// The sender.
     #[serde(rename = "i")]
     pub instance: String,
+    /// Whose work it is.
+    #[serde(rename = "c", default)]
+    pub covers: Covers,
+    /// When the report was sent, on the sender's clock, in milliseconds.
+    #[serde(rename = "t", default)]
+    pub sent_ms: u64,
+    /// Revision of the platform's store that the sender has installed.
+    #[serde(rename = "r", default)]
+    pub revision: u64,
+    /// How current the sender's view is, for an instance that does not follow the store itself.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub view: Option<View>,
     /// Upstreams with work: requests in flight, their tokens, and tokens still to be read.
     #[serde(rename = "u")]
     pub upstreams: Vec<(String, u32, u64, u64)>,
-    /// Weights that upstreams showed in answer to an order: upstream, model and version.
+    /// Weights that upstreams showed: upstream, model and version.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub weights: Vec<(String, String, u64)>,
-    /// Upstreams that are loading weights.
+    /// Upstreams that are loading weights, and for how many more milliseconds to avoid them.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
-    pub loading: Vec<String>,
+    pub loading: Vec<(String, u64)>,
 }
 
 /// Introduces an instance.
--- a/damaskdrift_core/src/balance/mod.rs
+++ b/damaskdrift_core/src/balance/mod.rs
@@ -6,4 +6,4 @@
 
 pub use choice::{Need, Unavailable, View, expected_first_piece};
 pub use condition::{Condition, Verdict};
-pub use upstream::{Load, Record, Sent, Upstream, Upstreams, Weights};
+pub use upstream::{Load, Record, Reporter, Sent, Upstream, Upstreams, Weights};
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -4,6 +4,8 @@
 use std::net;
 use std::sync::Arc;
 
+use derive_more::AddAssign;
+
 use crate::balance::condition;
 use crate::id;
 use crate::time::Millis;
@@ -51,11 +53,11 @@
 /// Time after which a list has caught up with what an upstream itself showed of its weights: two
 /// of its writes and the way of the change.
 const LIST_LAG: Millis = Millis(3_000);
-/// Age of a peer's report above which it no longer counts.
-const PEER_LIFE: Millis = Millis(1_500);
+/// Age of a report above which it no longer counts.
+const REPORT_LIFE: Millis = Millis(1_500);
 
 /// Work that instances have at an upstream.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(AddAssign, Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
     /// Requests that it has not finished.
     pub in_flight: u32,
@@ -95,11 +97,25 @@
     shown: Option<Millis>,
 }
 
+/// Whose work a report tells.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Reporter {
+    /// One instance's.
+    Instance(id::Instance),
+    /// That of all instances of a failure domain.
+    Domain(id::FailureDomain),
+    /// That of all other instances of the fleet.
+    Others,
+}
+
+/// Work by upstream, and when it was reported.
+type Report = (Millis, Vec<(id::Upstream, Load)>);
+
 /// All upstreams that an instance knows.
 #[derive(Debug, Default)]
 pub struct Upstreams {
     all: BTreeMap<id::Upstream, Upstream>,
-    peers: HashMap<id::Instance, (Millis, Vec<(id::Upstream, Load)>)>,
+    reports: HashMap<Reporter, Report>,
 }
 
 impl Upstream {
@@ -236,28 +252,55 @@
         self.all.remove(id).is_some()
     }
 
-    /// Takes a peer's report of its work into account; it replaces the one before.
-    pub fn set_peer(&mut self, peer: id::Instance, loads: Vec<(id::Upstream, Load)>, now: Millis) {
-        self.peers.insert(peer, (now, loads));
-        self.sum_peers(now);
+    /// Takes a report of others' work into account; it replaces the one before.
+    pub fn set_report(
+        &mut self,
+        reporter: Reporter,
+        loads: Vec<(id::Upstream, Load)>,
+        now: Millis,
+    ) {
+        self.reports.insert(reporter, (now, loads));
+        self.sum_reports(now);
     }
 
-    /// Sums the reports of peers, without those that are too old to count.
-    pub fn sum_peers(&mut self, now: Millis) {
-        self.peers.retain(|_, (at, _)| now.since(*at) < PEER_LIFE);
+    /// Drops the reports that the predicate does not keep.
+    pub fn retain_reports(&mut self, keep: impl Fn(&Reporter) -> bool, now: Millis) {
+        self.reports.retain(|reporter, _| keep(reporter));
+        self.sum_reports(now);
+    }
+
+    /// Sums the reports, without those that are too old to count.
+    pub fn sum_reports(&mut self, now: Millis) {
+        self.reports.retain(|_, (at, _)| now.since(*at) < REPORT_LIFE);
         for upstream in self.all.values_mut() {
             upstream.others = Load::default();
         }
-        for (_, loads) in self.peers.values() {
+        for (_, loads) in self.reports.values() {
+            for (id, load) in loads {
+                if let Some(upstream) = self.all.get_mut(id) {
+                    upstream.others += *load;
+                }
+            }
+        }
+    }
+
+    /// Returns the work of this instance and of the chosen reporters, by upstream.
+    pub fn work(&self, includes: impl Fn(&Reporter) -> bool) -> Vec<(id::Upstream, Load)> {
+        let mut sums: BTreeMap<&id::Upstream, Load> = BTreeMap::new();
+        for (id, upstream) in &self.all {
+            if upstream.own.in_flight > 0 {
+                sums.insert(id, upstream.own);
+            }
+        }
+        for (reporter, (_, loads)) in &self.reports {
+            if !includes(reporter) {
+                continue;
+            }
             for (id, load) in loads {
-                let Some(upstream) = self.all.get_mut(id) else {
-                    continue;
-                };
-                upstream.others.in_flight += load.in_flight;
-                upstream.others.tokens += load.tokens;
-                upstream.others.unread += load.unread;
+                *sums.entry(id).or_default() += *load;
             }
         }
+        sums.into_iter().map(|(id, load)| (id.clone(), load)).collect()
     }
 
     /// Returns an upstream.
--- a/damaskdrift_core/src/kept/mod.rs
+++ b/damaskdrift_core/src/kept/mod.rs
@@ -1,11 +1,9 @@
 //! Where shared parts of prompts are kept, and when a part may be fetched, saved or freed.
 
 mod contents;
-mod observers;
 mod plan;
 mod salt;
 
 pub use contents::{Contents, Event, Page, Relayed};
-pub use observers::{Role, role};
 pub use plan::{FETCH_LIMIT, Part, Plan, Step, Stores};
 pub use salt::{salt, version};
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -148,7 +148,11 @@
         for (other, view) in views.iter_mut().enumerate() {
             if other != instance {
                 let peer = id::Instance::new(&instance.to_string());
-                view.set_peer(peer, vec![(chosen.clone(), own)], NOW);
+                view.set_report(
+                    balance::Reporter::Instance(peer),
+                    vec![(chosen.clone(), own)],
+                    NOW,
+                );
             }
         }
     }
@@ -161,11 +165,15 @@
     let mut upstreams = fleet(1);
     let id = id::Upstream::new("u0");
     let load = balance::Load { in_flight: 3, tokens: 9, unread: 9 };
-    upstreams.set_peer(id::Instance::new("p"), vec![(id.clone(), load)], NOW);
+    upstreams.set_report(
+        balance::Reporter::Instance(id::Instance::new("p")),
+        vec![(id.clone(), load)],
+        NOW,
+    );
     assert_eq!(upstreams.get(&id).unwrap().load(), load);
-    upstreams.sum_peers(NOW + Millis(1_499));
+    upstreams.sum_reports(NOW + Millis(1_499));
     assert_eq!(upstreams.get(&id).unwrap().load(), load);
-    upstreams.sum_peers(NOW + Millis(1_500));
+    upstreams.sum_reports(NOW + Millis(1_500));
     assert_eq!(upstreams.get(&id).unwrap().load(), balance::Load::default());
 }
 
--- a/damaskdrift_core/tests/kept.rs
+++ b/damaskdrift_core/tests/kept.rs
@@ -120,24 +120,6 @@
     }
 }
 
-/// Guards against more callers than a store answers at once, which it refuses. Load pattern: 88
-/// instances that all want to know what five stores hold.
-#[rstest]
-#[case(8, 8, 0)]
-#[case(88, 6, 2)]
-fn few_instances_ask_a_store(
-    #[case] count: usize,
-    #[case] observers: usize,
-    #[case] relays: usize,
-) {
-    let live: Vec<_> = (0..count).map(|i| id::Instance::new(&format!("i{i}"))).collect();
-    let store = id::Upstream::new("s1");
-    let roles: Vec<_> = live.iter().map(|own| kept::role(&store, own, &live)).collect();
-    let counted = |role| roles.iter().filter(|r| **r == role).count();
-    assert_eq!(counted(kept::Role::Observer), observers);
-    assert_eq!(counted(kept::Role::Relay), relays);
-}
-
 /// Guards against a listener that misses a page and goes on as if it knew all.
 #[rstest]
 fn a_missed_page_is_noticed() {
