Keep relays in use while the store turns a fleet away; lists of stores come from relays

A relay now serves whoever connects from its failure domain, and a place is kept while it is in use. Leaves watched the store in their first second and whenever a quiet relay's word was older than 2.3 s, so relays watch for 0.7 s at a time, and a leaf relies on any word younger than 1.8 s. A leaf that misses events of a store of kept KV cache is sent a list by its relays; before, 64 leaves listed each of 11 stores after a common restart, and each list stalls the store.

--- a/damaskdrift/src/entry/directory.rs
+++ b/damaskdrift/src/entry/directory.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::entry::clock;
+use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::state;
 use crate::peer::message;
@@ -20,6 +21,9 @@
 /// How long a watch waits without a change. Its end confirms the configuration, so it bounds how
 /// late silence of the store is noticed.
 const WATCH_WAIT: Millis = Millis(1_500);
+/// The same for a relay. A confirmation is as old as the watch that brought it, and the next one is
+/// as far away, so others that rely on it see up to twice this age.
+const RELAY_WATCH_WAIT: Millis = Millis(700);
 /// Pause after a watch with changes, so that changes in quick succession share a call.
 const WATCH_PACE: Duration = Duration::from_millis(60);
 /// What each instance that watches adds to that pause, since every change wakes them all.
@@ -98,8 +102,7 @@
             return;
         }
     }
-    let now = clock::now();
-    if entry.layout().place == membership::Place::Leaf && entry.follower.is_confirmed(now) {
+    if may_heed(entry) {
         // Relays reach the store although this instance does not.
         heed(entry, link, changes).await;
     }
@@ -112,8 +115,7 @@
     changes: &mut mpsc::Receiver<message::Changes>,
 ) {
     loop {
-        let is_leaf = entry.layout().place == membership::Place::Leaf;
-        if is_leaf && entry.follower.is_confirmed(clock::now()) {
+        if may_heed(entry) {
             match heed(entry, link, changes).await {
                 // The store itself tells whether this instance or its relays have lost it.
                 Interrupted::Unconfirmed => {}
@@ -122,7 +124,11 @@
         }
         let asked = clock::now();
         let before = entry.follower.revision.get();
-        match entry.port.watch(before, WATCH_WAIT).await {
+        let wait = match entry.layout().place {
+            membership::Place::Relay => RELAY_WATCH_WAIT,
+            membership::Place::Mesh | membership::Place::Leaf => WATCH_WAIT,
+        };
+        match entry.port.watch(before, wait).await {
             Ok(batch) => {
                 let is_change = !batch.items.is_empty();
                 apply(entry, link, &batch.items);
@@ -170,13 +176,19 @@
             () = tokio::time::sleep(HEED_TICK) => {}
         }
         link.expire(entry);
-        let is_leaf = entry.layout().place == membership::Place::Leaf;
-        if !is_leaf || !entry.follower.is_confirmed(clock::now()) {
+        if !may_heed(entry) {
             return Interrupted::Unconfirmed;
         }
     }
 }
 
+/// Returns whether this instance may wait for its relays.
+fn may_heed(entry: &state::Entry) -> bool {
+    let age = entry.confirmed.get().map(|at| clock::now().since(at));
+    entry.layout().place == membership::Place::Leaf
+        && age.is_some_and(|age| age < follower::RELAY_SILENCE)
+}
+
 /// Applies changes that a relay passed on.
 fn hear(
     entry: &Rc<state::Entry>,
--- a/damaskdrift/src/entry/duty.rs
+++ b/damaskdrift/src/entry/duty.rs
@@ -43,13 +43,11 @@
     let mut held = None;
     while !entry.stopping.is_cancelled() {
         hold(&entry, port::Entry::Instance, REGISTRATION_LIFE, &mut held).await;
-        let pause = if held.is_some() {
-            Duration::from(Millis(REGISTRATION_LIFE.0 / RENEWALS))
-        } else {
-            Duration::from(claim_wait(&entry))
-        };
+        let renewal = Millis(REGISTRATION_LIFE.0 / RENEWALS);
+        // A failed claim mostly means that the store is away.
+        let pause = if held.is_some() { renewal } else { renewal.max(claim_wait(&entry)) };
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = tokio::time::sleep(Duration::from(pause)) => {}
             () = entry.stopping.cancelled() => {}
         }
     }
--- a/damaskdrift/src/entry/follower.rs
+++ b/damaskdrift/src/entry/follower.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use damaskdrift_core::config_sync;
 use damaskdrift_core::time::Millis;
 use tokio::sync::Notify;
 
@@ -13,20 +14,26 @@
 /// Changes that a relay keeps for instances that connect anew; one that is further behind reads
 /// the store itself.
 const KEPT_CHANGES: usize = 64;
-/// Age of the last confirmation by a relay up to which an instance relies on relays: a watch of
-/// the store that ends without a change takes 1.5 s, and its answer some time more.
-pub const RELAY_SILENCE: Millis = Millis(2_300);
+/// Age of the newest confirmation up to which a leaf waits for its relays instead of asking the
+/// store itself: twice the wait of a relay's watch, and some time for the way. The rest of the
+/// bound on how late a change takes effect, two seconds or more, is left to the store's answer.
+pub const RELAY_SILENCE: Millis = Millis(1_800);
 /// How long a relay's view may be ahead of this instance before it reads the store itself: the
 /// changes between were most likely lost.
 const BEHIND_LIMIT: Millis = Millis(400);
 
+/// Age of a relay's last report up to which it counts as serving; reports come every 50 ms.
+const SERVED_LIFE: Millis = Millis(1_500);
+
 /// The view of the platform's store that an instance shares with others.
 #[derive(Debug, Default)]
 pub struct Follower {
     /// Revision of the store that this instance has installed.
     pub revision: Cell<u64>,
-    /// When relays last confirmed the installed revision, by this instance's clock.
-    pub relayed: Cell<Option<Millis>>,
+    /// When a relay last reported to this instance.
+    pub served: Cell<Option<Millis>>,
+    /// Instances of its failure domain that are connected to this one as their relay.
+    pub leaves: Cell<u32>,
     /// Set when the store has to be read again.
     pub must_read: Notify,
     behind_since: Cell<Option<Millis>>,
@@ -34,9 +41,12 @@
 }
 
 impl Follower {
-    /// Returns whether relays have confirmed the installed revision lately.
-    pub fn is_confirmed(&self, now: Millis) -> bool {
-        self.relayed.get().is_some_and(|at| now.since(at) < RELAY_SILENCE)
+    /// Returns whether relays serve this instance, or it serves others as one. Its place is then
+    /// kept although the store no longer lists the others: registrations lapse where the store
+    /// turns most of a fleet away.
+    pub fn is_in_use(&self, now: Millis) -> bool {
+        let is_served = self.served.get().is_some_and(|at| now.since(at) < SERVED_LIFE);
+        is_served || self.leaves.get() > 0
     }
 
     /// Takes a relay's view into account. Returns as of when it confirms the installed revision.
@@ -51,10 +61,7 @@
             return None;
         }
         self.behind_since.set(None);
-        // The relay had the report with this sending time when it took the age.
-        let confirmed = Millis(view.echo.min(now.0)) - Millis(view.age_ms);
-        self.relayed.set(Some(self.relayed.get().map_or(confirmed, |at| at.max(confirmed))));
-        Some(confirmed)
+        Some(config_sync::relayed(Millis(view.echo), Millis(view.age_ms), now))
     }
 
     /// Returns this instance's view, for the sender of a report.
--- a/damaskdrift/src/entry/peers/link.rs
+++ b/damaskdrift/src/entry/peers/link.rs
@@ -1,5 +1,6 @@
 //! Connections between instances.
 
+use std::collections::BTreeMap;
 use std::net;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 /// Silence after which a connection that should carry reports is closed: three were missed.
 const SILENCE: Duration = Duration::from_millis(2_000);
+/// Least time between two lists of one store for one instance: its reports say until it has taken
+/// the first that it lacks it.
+const LIST_PAUSE: Duration = Duration::from_millis(400);
 /// Pause before a peer is connected to again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -92,7 +96,7 @@
 pub async fn serve(entry: &Rc<state::Entry>, tcp: TcpStream) -> Result<(), Error> {
     let mut stream = socket::within(socket::take(tcp)).await?;
     let mut relayed = entry.relayed.subscribe();
-    let mut leaf: Option<id::Instance> = None;
+    let mut leaf: Option<Leaf> = None;
     let mut echo = 0;
     let mut heard = Instant::now();
     let mut due = Instant::now();
@@ -104,12 +108,17 @@
                 let frame = frame?;
                 if let message::Frame::Load(load) = &frame {
                     echo = load.sent_ms;
-                    let sender = id::Instance::new(&load.instance);
-                    if leaf.is_none() && is_of_domain(entry, &sender) {
+                    let is_near = load.failure_domain == entry.settings.domain.as_str();
+                    if leaf.is_none() && is_near {
                         for missed in entry.follower.missed(load.revision) {
                             send(&mut stream, &missed).await?;
                         }
-                        leaf = Some(sender);
+                        leaf = Some(Leaf::new(entry, &load.instance));
+                    }
+                    if let Some(leaf) = &mut leaf {
+                        for list in leaf.lists(&load.lacking) {
+                            send(&mut stream, &list).await?;
+                        }
                     }
                 }
                 apply(entry, frame);
@@ -122,7 +131,7 @@
             },
             () = tokio::time::sleep_until(due), if is_relayed => {
                 if let Some(leaf) = &leaf {
-                    send(&mut stream, &report::others(entry, leaf, echo)).await?;
+                    send(&mut stream, &report::others(entry, &leaf.id, echo)).await?;
                 }
                 due = Instant::now() + peers::RELAYED_PACE;
             }
@@ -133,9 +142,44 @@
     }
 }
 
-/// Returns whether an instance is of this one's failure domain.
-fn is_of_domain(entry: &state::Entry, instance: &id::Instance) -> bool {
-    entry.registration(instance).is_some_and(|r| r.domain == entry.settings.domain)
+/// An instance of this one's failure domain that is connected to it.
+#[derive(Debug)]
+struct Leaf {
+    entry: Rc<state::Entry>,
+    id: id::Instance,
+    /// When it was last sent the list of each store.
+    listed: BTreeMap<id::Upstream, Instant>,
+}
+
+impl Leaf {
+    fn new(entry: &Rc<state::Entry>, id: &str) -> Self {
+        entry.follower.leaves.set(entry.follower.leaves.get() + 1);
+        Self { entry: entry.clone(), id: id::Instance::new(id), listed: BTreeMap::new() }
+    }
+
+    /// Returns lists of the stores that the instance lacks, unless it was sent them a moment ago.
+    fn lists(&mut self, lacking: &[String]) -> Vec<message::Frame> {
+        let now = Instant::now();
+        let mut lists = Vec::new();
+        for store in lacking {
+            let store = id::Upstream::new(store);
+            if self.listed.get(&store).is_some_and(|at| now.duration_since(*at) < LIST_PAUSE) {
+                continue;
+            }
+            if let Some(list) = stores::list_for(&self.entry, &store) {
+                lists.push(list);
+                self.listed.insert(store, now);
+            }
+        }
+        lists
+    }
+}
+
+impl Drop for Leaf {
+    fn drop(&mut self) {
+        let leaves = &self.entry.follower.leaves;
+        leaves.set(leaves.get().saturating_sub(1));
+    }
 }
 
 fn apply(entry: &Rc<state::Entry>, frame: message::Frame) {
--- a/damaskdrift/src/entry/peers/mod.rs
+++ b/damaskdrift/src/entry/peers/mod.rs
@@ -87,6 +87,7 @@
 async fn connect(entry: Rc<state::Entry>, reports: watch::Receiver<Outgoing>) {
     let mut links: BTreeMap<link::Link, AbortOnDropHandle<()>> = BTreeMap::new();
     loop {
+        entry.lay_out();
         let layout = entry.layout();
         let mut wanted = BTreeSet::new();
         for (peer, scope) in &layout.links {
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -61,12 +61,18 @@
             loading.push((upstream.to_string(), seen.until.since(now).0));
         }
     }
+    let lacking = match entry.layout().place {
+        membership::Place::Leaf => entry.stores.borrow().lacking(),
+        membership::Place::Mesh | membership::Place::Relay => Vec::new(),
+    };
     message::Frame::Load(message::Load {
         instance: entry.settings.instance.to_string(),
+        failure_domain: entry.settings.domain.to_string(),
         covers,
         sent_ms: now.0,
         revision: entry.follower.revision.get(),
         view: None,
+        lacking: lacking.iter().map(id::Upstream::to_string).collect(),
         upstreams,
         weights,
         loading,
@@ -84,6 +90,9 @@
         }
         message::Covers::Others => balance::Reporter::Others,
     };
+    if reporter == balance::Reporter::Others {
+        entry.follower.served.set(Some(now));
+    }
     if let Some(view) = &report.view
         && place == membership::Place::Leaf
         && let Some(at) = entry.follower.hear(view, now)
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -231,7 +231,8 @@
         Some(member.registration.clone())
     }
 
-    fn lay_out(&self) {
+    /// Determines the place of this instance anew.
+    pub fn lay_out(&self) {
         let settings = &self.settings;
         let instances = self.instances.borrow();
         let live = instances.iter().filter(|(_, member)| member.until.is_none());
@@ -248,10 +249,20 @@
             capacity: settings.capacity,
         };
         let layout = membership::layout(&members, &own);
-        let before = self.layout.replace(Rc::new(layout.clone()));
+        let before = self.layout();
+        let has_shrunk =
+            layout.place == membership::Place::Mesh && before.place != membership::Place::Mesh;
+        if has_shrunk && self.follower.is_in_use(clock::now()) {
+            return;
+        }
         if before.place != layout.place {
-            log::info!(before:? = before.place, now:? = layout.place; "place in the fleet changed");
+            let instances = members.len();
+            log::info!(
+                before:? = before.place, now:? = layout.place, instances;
+                "place in the fleet changed"
+            );
         }
+        self.layout.replace(Rc::new(layout));
     }
 
     /// Returns how many instances share the bounds that hold for all together.
--- a/damaskdrift/src/entry/stores.rs
+++ b/damaskdrift/src/entry/stores.rs
@@ -111,21 +111,32 @@
     if entry.layout().place != membership::Place::Relay {
         return;
     }
+    let frame = write(&store.id, page, since, asked);
+    // Without a connected peer there is nobody to tell.
+    let _ = entry.relayed.send(Rc::new(frame));
+}
+
+/// Returns the list of a store for an instance that lacks it, if it is known.
+pub fn list_for(entry: &state::Entry, store: &id::Upstream) -> Option<message::Frame> {
+    let stores = entry.stores.borrow();
+    let (page, asked) = stores.contents(store)?.list(clock::now())?;
+    Some(write(store, &page, 0, asked))
+}
+
+fn write(store: &id::Upstream, page: &kept::Page, since: u64, asked: Millis) -> message::Frame {
     let mut events = Vec::with_capacity(page.events.len());
     for event in &page.events {
         events.push((event.is_stored, event.salt.clone(), event.part, event.tokens));
     }
-    let frame = message::Frame::Kept(message::Kept {
-        store: store.id.to_string(),
+    message::Frame::Kept(message::Kept {
+        store: store.to_string(),
         epoch: page.epoch,
         range: (since, page.next),
         age_ms: clock::now().since(asked).0,
         is_list: page.is_list,
         events,
         clock_ms: page.clock_ms,
-    });
-    // Without a connected peer there is nobody to tell.
-    let _ = entry.relayed.send(Rc::new(frame));
+    })
 }
 
 /// Takes an answer into account that another instance passed on.
@@ -153,18 +164,9 @@
     let Some(contents) = stores.contents_mut(&id) else {
         return;
     };
-    let is_gap = contents.relay(&page, relayed.range.0, asked, now) == kept::Relayed::Gap;
-    if !is_gap || !contents.begin_list(now) {
-        return;
-    }
-    let store = stores.records().into_iter().find(|store| store.id == id);
-    if let Some(store) = store {
-        let entry = entry.clone();
-        task::spawn_local(async move {
-            if let Err(failure) = list(&entry, &store).await {
-                log::info!(store:% = store.id, cause:% = failure; "store cannot be listed");
-            }
-        });
+    if contents.relay(&page, relayed.range.0, asked, now) == kept::Relayed::Gap {
+        // The next report asks the relays for a list.
+        entry.load_changed.notify_one();
     }
 }
 
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -112,6 +112,9 @@
     /// The sender.
     #[serde(rename = "i")]
     pub instance: String,
+    /// The sender's failure domain.
+    #[serde(rename = "d", default)]
+    pub failure_domain: String,
     /// Whose work it is.
     #[serde(rename = "c", default)]
     pub covers: Covers,
@@ -124,6 +127,9 @@
     /// How current the sender's view is, for an instance that does not follow the store itself.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     pub view: Option<View>,
+    /// Stores of kept KV cache of which the sender needs a list.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub lacking: Vec<String>,
     /// Upstreams with work: requests in flight, their tokens, and tokens still to be read.
     #[serde(rename = "u")]
     pub upstreams: Vec<(String, u32, u64, u64)>,
--- a/damaskdrift_core/src/config_sync/mod.rs
+++ b/damaskdrift_core/src/config_sync/mod.rs
@@ -9,5 +9,5 @@
 pub use freshness::{Freshness, StopReason};
 pub use propagation::{CLAIM_MARGIN, CLAIM_SLACK, Claim, ClaimReason, Propagation};
 pub use state::{Offer, PeerReport, Reading, State};
-pub use trust::{Trust, trust};
+pub use trust::{Trust, relayed, trust};
 pub use watch::{WATCHERS_PER_DOMAIN, watchers};
--- a/damaskdrift_core/src/config_sync/trust.rs
+++ b/damaskdrift_core/src/config_sync/trust.rs
@@ -35,3 +35,11 @@
         Trust::Fresh
     }
 }
+
+/// Returns as of when a relay's word confirms the configuration of an instance. `sent` is when the
+/// instance sent the report that the relay answers, and `age` how old the relay's own confirmation
+/// was when it answered. Counting from the sending time, a word that was held up on its way, or
+/// that a relay gave before it was paused, confirms nothing late.
+pub fn relayed(sent: Millis, age: Millis, now: Millis) -> Millis {
+    sent.min(now) - age
+}
--- a/damaskdrift_core/src/kept/contents.rs
+++ b/damaskdrift_core/src/kept/contents.rs
@@ -12,8 +12,6 @@
 /// old entry while the part is written anew. It covers [`TRUST`] and the 2 s for which a relayed
 /// answer can be held up before its connection counts as silent.
 pub const SETTLE: Millis = Millis(3_500);
-/// Least time between two lists of a store by one instance.
-const LIST_PAUSE: Millis = Millis(3_000);
 /// Time after which a save that no event confirmed may be tried again.
 const SAVE_TIMEOUT: Millis = Millis(6_000);
 
@@ -66,7 +64,8 @@
     used: u64,
     saving: HashMap<(Arc<str>, u64), Millis>,
     confirmed: Option<Millis>,
-    listed: Option<Millis>,
+    /// Whether a page that another instance passed on did not continue what is known.
+    has_gap: bool,
     settled: Millis,
 }
 
@@ -85,6 +84,7 @@
         if page.is_list {
             self.whole.clear();
             self.used = 0;
+            self.has_gap = false;
         }
         for event in &page.events {
             self.apply(event);
@@ -99,6 +99,7 @@
     pub fn relay(&mut self, page: &Page, since: u64, asked: Millis, now: Millis) -> Relayed {
         let is_next = self.epoch == Some(page.epoch) && since <= self.next;
         if !page.is_list && (!is_next || page.is_gap) {
+            self.has_gap = true;
             return Relayed::Gap;
         }
         if page.next < self.next && self.epoch == Some(page.epoch) {
@@ -122,13 +123,29 @@
         }
     }
 
-    /// Returns whether the store may be listed now, and notes that it is. Listing stalls a store.
-    pub fn begin_list(&mut self, now: Millis) -> bool {
-        if self.listed.is_some_and(|at| now.since(at) < LIST_PAUSE) {
-            return false;
+    /// Returns whether a list has to be passed on to this instance before it knows what the store
+    /// holds.
+    pub fn is_lacking(&self) -> bool {
+        self.epoch.is_none() || self.has_gap
+    }
+
+    /// Returns all that the store is known to hold, and when the store was asked for it; `None`
+    /// while that is not known well enough to be passed on.
+    pub fn list(&self, now: Millis) -> Option<(Page, Millis)> {
+        let (epoch, asked) = (self.epoch?, self.confirmed?);
+        if self.has_gap || !self.is_trusted(now) {
+            return None;
         }
-        self.listed = Some(now);
-        true
+        let mut events = Vec::new();
+        for (salt, parts) in &self.whole {
+            for (part, tokens) in parts {
+                let (salt, part, tokens) = (salt.to_string(), *part, *tokens);
+                events.push(Event { is_stored: true, salt, part, tokens });
+            }
+        }
+        let page =
+            Page { epoch, next: self.next, is_gap: false, is_list: true, events, clock_ms: None };
+        Some((page, asked))
     }
 
     /// Returns whether the store answered lately enough to act on what is known of it.
--- a/damaskdrift_core/src/kept/mod.rs
+++ b/damaskdrift_core/src/kept/mod.rs
@@ -4,6 +4,6 @@
 mod plan;
 mod salt;
 
-pub use contents::{Contents, Event, Page, Relayed};
+pub use contents::{Contents, Event, Page, Relayed, TRUST};
 pub use plan::{FETCH_LIMIT, Part, Plan, Step, Stores};
 pub use salt::{salt, version};
--- a/damaskdrift_core/src/kept/plan.rs
+++ b/damaskdrift_core/src/kept/plan.rs
@@ -97,6 +97,12 @@
         self.all.values().map(|store| store.record.clone()).collect()
     }
 
+    /// Returns the stores of which a list has to be passed on to this instance.
+    pub fn lacking(&self) -> Vec<id::Upstream> {
+        let lacking = self.all.iter().filter(|(_, store)| store.contents.is_lacking());
+        lacking.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns what a store holds.
     pub fn contents(&self, id: &id::Upstream) -> Option<&contents::Contents> {
         self.all.get(id).map(|store| &store.contents)
--- a/damaskdrift_core/tests/entry.rs
+++ b/damaskdrift_core/tests/entry.rs
@@ -118,6 +118,20 @@
     assert_eq!(config_sync::trust(confirmed, Millis(5_000), now), expected);
 }
 
+/// Guards against a confirmation that becomes younger on its way: a relay's word that was held up,
+/// or that it gave before it was paused.
+#[rstest]
+#[case(2_100, config_sync::Trust::Fresh)]
+#[case(5_900, config_sync::Trust::Expired)]
+fn a_relayed_confirmation_ages_on_its_way(
+    #[case] heard: u64,
+    #[case] expected: config_sync::Trust,
+) {
+    let confirmed = config_sync::relayed(Millis(2_000), Millis(500), Millis(heard));
+    assert_eq!(confirmed, Millis(1_500));
+    assert_eq!(config_sync::trust(Some(confirmed), Millis(5_000), Millis(heard)), expected);
+}
+
 /// Guards against repeats of all instances above the common bound. Load pattern: each request is
 /// refused once and repeated, for a minute, with uneven shares of the callers.
 #[rstest]
--- a/damaskdrift_core/tests/kept.rs
+++ b/damaskdrift_core/tests/kept.rs
@@ -137,6 +137,26 @@
     assert!(!contents.holds("s", 7, 10, NOW + Millis(1_001)), "not confirmed for too long");
 }
 
+/// Guards against a store that each instance of a large fleet lists itself, which stalls the store.
+/// Load pattern: a fleet that starts again while the stores are full.
+#[rstest]
+fn a_relays_list_brings_an_instance_up_to_date() {
+    let mut relay = kept::Contents::default();
+    let list = kept::Page { is_list: true, ..page(1, 5, vec![stored("s", 7, 10)]) };
+    relay.update(&list, NOW, NOW);
+    relay.update(&page(1, 6, vec![stored("s", 8, 20)]), NOW, NOW);
+    let mut leaf = kept::Contents::default();
+    assert!(leaf.is_lacking(), "nothing known yet");
+    let (page_of_all, asked) = relay.list(NOW).unwrap();
+    assert_eq!(leaf.relay(&page_of_all, 0, asked, NOW), kept::Relayed::Applied);
+    assert!(!leaf.is_lacking());
+    assert!(leaf.holds("s", 7, 10, NOW) && leaf.holds("s", 8, 20, NOW));
+    assert_eq!(leaf.relay(&page(1, 9, vec![]), 7, NOW, NOW), kept::Relayed::Gap);
+    assert!(leaf.is_lacking(), "a page was missed");
+    let old = NOW + kept::TRUST + Millis(1);
+    assert!(relay.list(old).is_none(), "a relay that has lost the store has no list to pass on");
+}
+
 #[rstest]
 #[case("m|4|w", Some(4))]
 #[case("m|4|", Some(4))]
