Do not avoid an engine for a delay that all engines of its service have

Cause: the estimate of a first piece leaves out a fixed time of the engines, 80 ms at one site, so an instance avoided each engine that it had just used and sent returning sessions to others, which read their parts again. A delay now counts by how far it lies above the usual one of the service.

The test fails first with 210 of 2,000 requests moved.

--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -90,11 +90,12 @@
         }
         let took = now.since(self.since);
         metrics::histogram!("first_piece_seconds").record(took.0 as f64 / 1_000.0);
-        if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
+        let mut upstreams = self.entry.upstreams.borrow_mut();
+        if let Some(upstream) = upstreams.get_mut(&self.upstream) {
             upstream.read(&mut self.sent);
-            if let Some(expected) = self.expected {
-                upstream.condition.observe_delay(took.since(expected), now);
-            }
+        }
+        if let Some(expected) = self.expected {
+            upstreams.observe_delay(&self.upstream, took.since(expected), now);
         }
     }
 
--- a/damaskdrift_core/src/balance/condition.rs
+++ b/damaskdrift_core/src/balance/condition.rs
@@ -16,6 +16,25 @@
 /// Half-life of an observed delay; a queue is gone within a few hundred milliseconds.
 const DELAY_HALF_LIFE_MS: f64 = 300.0;
 
+/// Weight of a delay below the usual one, and of one above it, in the estimate of the usual one: it
+/// settles where about one delay in twenty is below.
+const USUAL_WEIGHTS: (f64, f64) = (0.2, 0.01);
+
+/// The delay beyond the estimate that requests to a service have without any queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UsualDelay(Option<f64>);
+
+impl UsualDelay {
+    /// Takes a delay into account and returns how far it lies above the usual one.
+    pub fn observe(&mut self, delay: Millis) -> Millis {
+        let delay = delay.0 as f64;
+        let usual = self.0.get_or_insert(delay);
+        let weight = if delay < *usual { USUAL_WEIGHTS.0 } else { USUAL_WEIGHTS.1 };
+        *usual += weight * (delay - *usual);
+        Millis((delay - *usual).max(0.0) as u64)
+    }
+}
+
 /// What one answer, or its absence, says of an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -116,6 +116,7 @@
 pub struct Upstreams {
     all: BTreeMap<id::Upstream, Upstream>,
     reports: HashMap<Reporter, Report>,
+    usual_delays: HashMap<id::Service, condition::UsualDelay>,
 }
 
 impl Upstream {
@@ -252,6 +253,15 @@
         self.all.remove(id).is_some()
     }
 
+    /// Takes into account how much longer than estimated an upstream took for the first piece of an
+    /// answer. What all upstreams of its service take longer says nothing of this one.
+    pub fn observe_delay(&mut self, id: &id::Upstream, delay: Millis, now: Millis) {
+        if let Some(upstream) = self.all.get_mut(id) {
+            let usual = self.usual_delays.entry(upstream.record.service.clone()).or_default();
+            upstream.condition.observe_delay(usual.observe(delay), now);
+        }
+    }
+
     /// Takes a report of others' work into account; it replaces the one before.
     pub fn set_report(
         &mut self,
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -130,6 +130,46 @@
     assert_eq!(ask.choose(&mine, NOW, &mut a), ask.choose(&theirs, NOW, &mut b));
 }
 
+/// Guards against an instance that leaves the engine it has just used, because each engine takes
+/// longer for a first piece than estimated. Load pattern: sessions that return every few hundred
+/// milliseconds to engines with a fixed delay of 80 ms.
+#[rstest]
+fn a_delay_that_all_engines_have_moves_no_session() {
+    let mut upstreams = fleet(12);
+    let mut rng = rng();
+    let mut homes: BTreeMap<u64, id::Upstream> = BTreeMap::new();
+    let mut moved = 0;
+    for turn in 0..2_000_u64 {
+        let now = NOW + Millis(turn * 5);
+        let session = turn % 60;
+        let parts = [(1, 55), (session * 7_919 + 3, 246)];
+        let ask = Ask { parts: &parts, tokens: 380, ..Ask::default() };
+        let (chosen, _) = ask.choose(&upstreams, now, &mut rng).unwrap();
+        upstreams.observe_delay(&chosen, Millis(80 + turn % 7), now);
+        let home = homes.entry(session).or_insert_with(|| chosen.clone());
+        moved += usize::from(*home != chosen);
+    }
+    assert_eq!(moved, 0, "of 2000 requests");
+}
+
+/// Guards against an engine whose queue shows in its answers and that gets requests all the same.
+#[rstest]
+fn an_unusual_delay_moves_requests_elsewhere() {
+    let mut upstreams = fleet(12);
+    let mut rng = rng();
+    let parts = [(1, 55), (42, 246)];
+    let ask = Ask { parts: &parts, tokens: 380, ..Ask::default() };
+    let home = ask.choose(&upstreams, NOW, &mut rng).unwrap().0;
+    for id in upstreams.ids() {
+        upstreams.observe_delay(&id, Millis(80), NOW);
+    }
+    for _ in 0..5 {
+        upstreams.observe_delay(&home, Millis(480), NOW);
+    }
+    assert_ne!(ask.choose(&upstreams, NOW, &mut rng).unwrap().0, home);
+    assert_eq!(ask.choose(&upstreams, NOW + Millis(3_000), &mut rng).unwrap().0, home);
+}
+
 /// Guards against prompts of different instances that meet at one engine while others are free.
 /// Load pattern: long prompts whose shared part is fetched, from eight instances in turn.
 #[rstest]
