--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -248,8 +248,8 @@
     /// Ends a lease; entries under it are removed.
     fn end(&self, lease: u64) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 
-    /// Writes an entry of an instance under a lease unless the entry exists. Returns the revision
-    /// of the write, or `None` if the entry exists.
+    /// Writes an entry of an instance under a lease; the duty only if nobody has it. Returns the
+    /// revision of the write, or `None` if another instance has the duty.
     fn claim<'a>(
         &'a self,
         entry: Entry,
--- a/damaskdrift_lab/src/proxy/forward.rs
+++ b/damaskdrift_lab/src/proxy/forward.rs
@@ -68,14 +68,14 @@
     mut to: OwnedWriteHalf,
 ) -> io::Result<()> {
     while let Some((read_at, piece)) = rx.recv().await {
-        let mode = link.passing().await;
+        let mode = link.passing(direction).await;
         if direction == Direction::Answer && mode.drop_answers {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         time::sleep_until(read_at + Duration::from_millis(mode.delay_ms)).await;
         let most = mode.bytes_per_s.map_or(PIECE_BYTES as u64, |rate| rate / PIECES_PER_S);
         for part in piece.chunks(most.clamp(1, PIECE_BYTES as u64) as usize) {
-            let bytes_per_s = link.passing().await.bytes_per_s;
+            let bytes_per_s = link.passing(direction).await.bytes_per_s;
             link.pace(direction, part.len(), bytes_per_s).await;
             to.write_all(part).await?;
         }
--- a/damaskdrift_lab/src/proxy/link.rs
+++ b/damaskdrift_lab/src/proxy/link.rs
@@ -105,7 +105,7 @@
         self.shared.mode.send_replace(mode);
         let follows = |open: &Open| match mode.kind {
             Kind::Cut => !open.is_listening && open.connections == 0,
-            Kind::Pass | Kind::Blackhole => open.is_listening,
+            Kind::Pass | Kind::Blackhole | Kind::HoldAnswers => open.is_listening,
         };
         let mut rx = self.shared.open.subscribe();
         let follows = time::timeout(FOLLOW_LIMIT, rx.wait_for(follows)).await;
@@ -131,9 +131,14 @@
         *self.shared.mode.borrow()
     }
 
-    /// Waits until the link is not a black hole.
-    pub(super) async fn passing(&self) -> Mode {
-        self.wait_for(|mode| mode.kind != Kind::Blackhole).await
+    /// Waits until the link forwards bytes in a direction.
+    pub(super) async fn passing(&self, direction: Direction) -> Mode {
+        let is_held = |mode: &Mode| match mode.kind {
+            Kind::Blackhole => true,
+            Kind::HoldAnswers => direction == Direction::Answer,
+            Kind::Pass | Kind::Cut => false,
+        };
+        self.wait_for(|mode| !is_held(mode)).await
     }
 
     /// Counts bytes and waits until the bandwidth allows them.
@@ -191,7 +196,7 @@
 
     async fn connection(self, client: TcpStream) {
         let forward = async {
-            self.passing().await;
+            self.passing(Direction::Request).await;
             let server = TcpStream::connect(self.shared.to).await?;
             forward::both(&self, client, server).await
         };
--- a/damaskdrift_lab/src/proxy/mod.rs
+++ b/damaskdrift_lab/src/proxy/mod.rs
@@ -38,7 +38,7 @@
   GET /links         Addresses, modes and counts of all links
 
 A mode is JSON; every field may be left out:
-  {\"mode\":\"pass|cut|blackhole\",\"delay_ms\":n,\"bytes_per_s\":n,\"drop_answers\":bool}
+  {\"mode\":\"pass|cut|blackhole|hold-answers\",\"delay_ms\":n,\"bytes_per_s\":n,\"drop_answers\":bool}
 ";
 
 /// Runs the proxy until it is killed.
--- a/damaskdrift_lab/src/proxy/mode.rs
+++ b/damaskdrift_lab/src/proxy/mode.rs
@@ -28,6 +28,8 @@
     Cut,
     /// Connections are accepted and stay open, but nothing is forwarded.
     Blackhole,
+    /// Requests are forwarded and answers are not: the link is cut one way.
+    HoldAnswers,
 }
 
 impl Mode {
@@ -38,6 +40,8 @@
     pub const CUT: Self = Self { kind: Kind::Cut, ..Self::PASS };
     /// Accepts connections and forwards nothing.
     pub const BLACKHOLE: Self = Self { kind: Kind::Blackhole, ..Self::PASS };
+    /// Forwards requests and no answers.
+    pub const HOLD_ANSWERS: Self = Self { kind: Kind::HoldAnswers, ..Self::PASS };
     /// Forwards requests and closes the connection instead of passing the answer on.
     pub const DROP_ANSWERS: Self = Self { drop_answers: true, ..Self::PASS };
 
