--- a/damaskdrift/src/entry/directory.rs
+++ b/damaskdrift/src/entry/directory.rs
@@ -231,7 +231,7 @@
     let range = (before, batch.revision);
     let changes = message::Changes { range, items, restored_ago_ms };
     let frame = Rc::new(message::Frame::Changes(changes));
-    entry.follower.keep(frame.clone());
+    entry.follower.record(frame.clone());
     // Without a connected peer there is nobody to tell.
     let _ = entry.relayed.send(frame);
 }
--- a/damaskdrift/src/entry/follower.rs
+++ b/damaskdrift/src/entry/follower.rs
@@ -11,9 +11,12 @@
 use crate::entry::clock;
 use crate::peer::message;
 
-/// Changes that a relay keeps for instances that connect anew; one that is further behind reads
+/// Changes that a relay records for instances that connect anew; one that is further behind reads
 /// the store itself.
-const KEPT_CHANGES: usize = 64;
+const RECORDED_CHANGES: usize = 64;
+/// Most bytes of recorded changes. A configuration may take a megabyte, and small instances have
+/// less than a hundred.
+const RECORDED_BYTES: usize = 4 << 20;
 /// Age of the newest confirmation up to which a leaf waits for its relays instead of asking the
 /// store itself: twice the wait of a relay's watch, and some time for the way. The rest of the
 /// bound on how late a change takes effect, two seconds or more, is left to the store's answer.
@@ -37,7 +40,7 @@
     /// Set when the store has to be read again.
     pub must_read: Notify,
     behind_since: Cell<Option<Millis>>,
-    kept: RefCell<VecDeque<Rc<message::Frame>>>,
+    recorded: RefCell<VecDeque<Rc<message::Frame>>>,
 }
 
 impl Follower {
@@ -70,21 +73,34 @@
         Some(message::View { revision: self.revision.get(), age_ms, echo })
     }
 
-    /// Keeps changes for instances that connect anew.
-    pub fn keep(&self, frame: Rc<message::Frame>) {
-        let mut kept = self.kept.borrow_mut();
-        if kept.len() >= KEPT_CHANGES {
-            kept.pop_front();
+    /// Records changes for instances that connect anew.
+    pub fn record(&self, frame: Rc<message::Frame>) {
+        let mut recorded = self.recorded.borrow_mut();
+        recorded.push_back(frame);
+        let mut bytes: usize = recorded.iter().map(|frame| size(frame)).sum();
+        while recorded.len() > RECORDED_CHANGES || bytes > RECORDED_BYTES {
+            let Some(oldest) = recorded.pop_front() else {
+                return;
+            };
+            bytes -= size(&oldest);
         }
-        kept.push_back(frame);
     }
 
-    /// Returns the kept changes that an instance at a revision lacks.
+    /// Returns the recorded changes that an instance at a revision lacks.
     pub fn missed(&self, revision: u64) -> Vec<Rc<message::Frame>> {
         let is_missed = |frame: &&Rc<message::Frame>| match frame.as_ref() {
             message::Frame::Changes(changes) => changes.range.1 > revision,
             _ => false,
         };
-        self.kept.borrow().iter().filter(is_missed).cloned().collect()
+        self.recorded.borrow().iter().filter(is_missed).cloned().collect()
     }
 }
+
+/// Returns about how many bytes a frame of changes takes.
+fn size(frame: &message::Frame) -> usize {
+    let message::Frame::Changes(changes) = frame else {
+        return 0;
+    };
+    let value = |value: &Option<String>| value.as_ref().map_or(0, String::len);
+    changes.items.iter().map(|(key, text, _)| key.len() + value(text)).sum()
+}
--- a/damaskdrift/src/entry/peers/mod.rs
+++ b/damaskdrift/src/entry/peers/mod.rs
@@ -103,7 +103,7 @@
                 AbortOnDropHandle::new(task::spawn_local(keep))
             });
         }
-        report::drop_others(&entry, layout.place);
+        report::drop_uncounted(&entry, layout.place);
         tokio::time::sleep(COMPARE_PAUSE).await;
     }
 }
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -123,7 +123,7 @@
 }
 
 /// Drops the reports that do not count at this place.
-pub fn drop_others(entry: &state::Entry, place: membership::Place) {
+pub fn drop_uncounted(entry: &state::Entry, place: membership::Place) {
     let now = clock::now();
     entry.upstreams.borrow_mut().retain_reports(|reporter| counts(reporter, place), now);
 }
