--- a/damaskdrift/src/entry/directory.rs
+++ b/damaskdrift/src/entry/directory.rs
@@ -35,7 +35,7 @@
 /// Longest pause of an instance that also hears from relays.
 const LEAF_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// How often an instance that hears from relays looks whether they are still confirmed.
-const HEED_TICK: Duration = Duration::from_millis(100);
+const RELAY_CHECK_PACE: Duration = Duration::from_millis(100);
 /// Time after the store's return in which a live upstream whose entry lapsed registers again.
 const REGISTER_AGAIN: Millis = Millis(2_000);
 
@@ -47,7 +47,7 @@
     lapsed: BTreeMap<id::Upstream, Millis>,
 }
 
-/// Why an instance stopped to follow the store without reading it anew.
+/// Why an instance stopped following its relays.
 enum Interrupted {
     /// It is no longer confirmed that the installed revision is the newest.
     Unconfirmed,
@@ -73,15 +73,15 @@
             }
             Err(error) => {
                 link.set_up(false, &error.to_string());
-                hear_for(&entry, &mut link, &mut changes, pause).await;
+                apply_relayed_for(&entry, &mut link, &mut changes, pause).await;
                 pause = (pause * 2).min(longest_pause(&entry));
             }
         }
     }
 }
 
-/// Returns the longest pause between two failed calls of the store. A relay may bring the store's
-/// word meanwhile, so a leaf asks less often.
+/// Returns the longest pause between two failed calls of the store. A relay may confirm
+/// the configuration meanwhile, so a leaf asks less often.
 fn longest_pause(entry: &state::Entry) -> Duration {
     match entry.layout().place {
         membership::Place::Leaf => LEAF_RETRY_PAUSE,
@@ -90,21 +90,21 @@
 }
 
 /// Applies changes that relays pass on while the store itself cannot be read.
-async fn hear_for(
+async fn apply_relayed_for(
     entry: &Rc<state::Entry>,
     link: &mut Link,
     changes: &mut mpsc::Receiver<message::Changes>,
     pause: Duration,
 ) {
     let until = Instant::now() + pause;
-    while let Ok(Some(passed_on)) = tokio::time::timeout_at(until, changes.recv()).await {
-        if hear(entry, link, &passed_on).is_err() {
+    while let Ok(Some(relayed)) = tokio::time::timeout_at(until, changes.recv()).await {
+        if apply_relayed(entry, link, &relayed).is_err() {
             return;
         }
     }
-    if may_heed(entry) {
+    if relies_on_relays(entry) {
         // Relays reach the store although this instance does not.
-        heed(entry, link, changes).await;
+        follow_relays(entry, link, changes).await;
     }
 }
 
@@ -115,8 +115,8 @@
     changes: &mut mpsc::Receiver<message::Changes>,
 ) {
     loop {
-        if may_heed(entry) {
-            match heed(entry, link, changes).await {
+        if relies_on_relays(entry) {
+            match follow_relays(entry, link, changes).await {
                 // The store itself tells whether this instance or its relays have lost it.
                 Interrupted::Unconfirmed => {}
                 Interrupted::Gap => return,
@@ -157,46 +157,46 @@
 }
 
 /// Follows the store through relays until they no longer confirm the installed revision.
-async fn heed(
+async fn follow_relays(
     entry: &Rc<state::Entry>,
     link: &mut Link,
     changes: &mut mpsc::Receiver<message::Changes>,
 ) -> Interrupted {
     loop {
         tokio::select! {
-            passed_on = changes.recv() => {
-                let Some(passed_on) = passed_on else {
+            relayed = changes.recv() => {
+                let Some(relayed) = relayed else {
                     return Interrupted::Unconfirmed;
                 };
-                if let Err(interrupted) = hear(entry, link, &passed_on) {
+                if let Err(interrupted) = apply_relayed(entry, link, &relayed) {
                     return interrupted;
                 }
             }
             () = entry.follower.must_read.notified() => return Interrupted::Gap,
-            () = tokio::time::sleep(HEED_TICK) => {}
+            () = tokio::time::sleep(RELAY_CHECK_PACE) => {}
         }
         link.expire(entry);
-        if !may_heed(entry) {
+        if !relies_on_relays(entry) {
             return Interrupted::Unconfirmed;
         }
     }
 }
 
 /// Returns whether this instance may wait for its relays.
-fn may_heed(entry: &state::Entry) -> bool {
+fn relies_on_relays(entry: &state::Entry) -> bool {
     let age = entry.confirmed.get().map(|at| clock::now().since(at));
     entry.layout().place == membership::Place::Leaf
         && age.is_some_and(|age| age < follower::RELAY_SILENCE)
 }
 
 /// Applies changes that a relay passed on.
-fn hear(
+fn apply_relayed(
     entry: &Rc<state::Entry>,
     link: &mut Link,
-    passed_on: &message::Changes,
+    relayed: &message::Changes,
 ) -> Result<(), Interrupted> {
     let revision = entry.follower.revision.get();
-    let (from, to) = passed_on.range;
+    let (from, to) = relayed.range;
     if to <= revision {
         return Ok(());
     }
@@ -204,11 +204,11 @@
         log::info!(revision, from; "changes of the store are missing; reading everything again");
         return Err(Interrupted::Gap);
     }
-    if let Some(ago_ms) = passed_on.restored_ago_ms {
+    if let Some(ago_ms) = relayed.restored_ago_ms {
         link.restored = link.restored.max(clock::now() - Millis(ago_ms));
     }
     let mut items = Vec::new();
-    for (key, value, at) in &passed_on.items {
+    for (key, value, at) in &relayed.items {
         if *at > revision {
             items.push(port::Item { key: key.clone(), value: value.clone(), revision: *at });
         }
--- a/damaskdrift_core/src/config_sync/trust.rs
+++ b/damaskdrift_core/src/config_sync/trust.rs
@@ -36,10 +36,10 @@
     }
 }
 
-/// Returns as of when a relay's word confirms the configuration of an instance. `sent` is when the
-/// instance sent the report that the relay answers, and `age` how old the relay's own confirmation
-/// was when it answered. Counting from the sending time, a word that was held up on its way, or
-/// that a relay gave before it was paused, confirms nothing late.
+/// Returns as of when a relay's answer confirms the configuration of an instance. `sent` is when
+/// the instance sent the report that the relay answers, and `age` how old the relay's own
+/// confirmation was when it answered. Counting from the sending time, an answer that was delayed
+/// on its way, or given before the relay was paused, does not count as recent.
 pub fn relayed(sent: Millis, age: Millis, now: Millis) -> Millis {
     sent.min(now) - age
 }
--- a/damaskdrift_core/tests/entry.rs
+++ b/damaskdrift_core/tests/entry.rs
@@ -118,8 +118,8 @@
     assert_eq!(config_sync::trust(confirmed, Millis(5_000), now), expected);
 }
 
-/// Guards against a confirmation that becomes younger on its way: a relay's word that was held up,
-/// or that it gave before it was paused.
+/// Guards against a confirmation that becomes younger on its way: a relay's answer that was
+/// delayed, or given before the relay was paused.
 #[rstest]
 #[case(2_100, config_sync::Trust::Fresh)]
 #[case(5_900, config_sync::Trust::Expired)]
