Hold the cold rate in fleets larger than it

Cause: each instance may send its share of what a cold upstream bears, at least one request a second, so 74 instances could send 74 where 31 a second are borne. Where there are more instances than requests, the same few instances, found by rendezvous hashing for each upstream, now send one each.

The test fails first at 74 and 330 instances (74 and 330 requests in a second, 24 allowed) and passes with the change.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -177,10 +177,13 @@
             tried: &self.tried,
         };
         let out = self.entry.out.borrow();
+        let registered = self.entry.registered();
         let view = balance::View {
             domain: &self.entry.settings.domain,
             out: &out,
             instances: self.entry.instance_count(),
+            own: &self.entry.settings.instance,
+            registered: &registered,
         };
         let upstreams = self.entry.upstreams.borrow();
         upstreams.choose(&need, &view, now, &mut *self.entry.rng.borrow_mut())
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -136,6 +136,7 @@
     pub changes: mpsc::Sender<message::Changes>,
     instances: RefCell<BTreeMap<id::Instance, Member>>,
     layout: RefCell<Rc<membership::Layout>>,
+    registered: RefCell<Rc<[id::Instance]>>,
 }
 
 impl Entry {
@@ -169,6 +170,7 @@
             changes,
             instances: RefCell::default(),
             layout: RefCell::default(),
+            registered: RefCell::new(Rc::from([])),
         });
         (entry, queue)
     }
@@ -224,6 +226,11 @@
         self.layout.borrow().clone()
     }
 
+    /// Returns the registered instances.
+    pub fn registered(&self) -> Rc<[id::Instance]> {
+        self.registered.borrow().clone()
+    }
+
     /// Returns the address and the failure domain of a registered instance.
     pub fn registration(&self, instance: &id::Instance) -> Option<port::Registration> {
         let instances = self.instances.borrow();
@@ -248,6 +255,7 @@
             domain: &settings.domain,
             capacity: settings.capacity,
         };
+        self.registered.replace(members.iter().map(|member| member.id.clone()).collect());
         let layout = membership::layout(&members, &own);
         let before = self.layout();
         let has_shrunk =
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -84,6 +84,27 @@
     pub out: &'a BTreeSet<id::FailureDomain>,
     /// Live instances, this one included.
     pub instances: u32,
+    /// This instance.
+    pub own: &'a id::Instance,
+    /// The registered instances.
+    pub registered: &'a [id::Instance],
+}
+
+impl View<'_> {
+    /// Returns how many requests a second this instance may send to a cold upstream. Where there
+    /// are more instances than requests, the same few send one each for all; one a second from
+    /// every instance would be too many.
+    fn cold_share(&self, per_second: f64, upstream: &id::Upstream) -> f64 {
+        let share = (per_second / f64::from(self.instances.max(1))).floor();
+        if share >= 1.0 {
+            return share;
+        }
+        let seed = xxh3::xxh3_64(upstream.as_str().as_bytes());
+        let score = |id: &id::Instance| xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), seed);
+        let own = score(self.own);
+        let rank = self.registered.iter().filter(|id| score(id) > own).count();
+        if (rank as f64) < per_second.floor() { 1.0 } else { 0.0 }
+    }
 }
 
 impl upstream::Upstreams {
@@ -182,7 +203,7 @@
 fn has_room(upstream: &upstream::Upstream, need: &Need<'_>, view: &View<'_>, now: Millis) -> bool {
     let instances = view.instances.max(1);
     if upstream.is_cold(now) && need.service.cold.per_second > 0.0 {
-        let share = (need.service.cold.per_second / f64::from(instances)).floor().max(1.0);
+        let share = view.cold_share(need.service.cold.per_second, &upstream.record.id);
         if upstream.cold_sends(now) as f64 >= share {
             return false;
         }
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -58,6 +58,8 @@
     fetch: Option<Millis>,
     out: BTreeSet<id::FailureDomain>,
     instances: u32,
+    own: id::Instance,
+    registered: Vec<id::Instance>,
     tried: Vec<id::Upstream>,
 }
 
@@ -73,6 +75,8 @@
             fetch: None,
             out: BTreeSet::new(),
             instances: 8,
+            own: id::Instance::new("i0"),
+            registered: Vec::new(),
             tried: Vec::new(),
         }
     }
@@ -96,7 +100,13 @@
             fetch: self.fetch,
             tried: &self.tried,
         };
-        let view = balance::View { domain: &domain, out: &self.out, instances: self.instances };
+        let view = balance::View {
+            domain: &domain,
+            out: &self.out,
+            instances: self.instances,
+            own: &self.own,
+            registered: &self.registered,
+        };
         upstreams.choose(&need, &view, now, rng)
     }
 }
@@ -217,14 +227,19 @@
     assert_eq!(upstreams.get(&id).unwrap().load(), balance::Load::default());
 }
 
-/// Guards against a sum over all instances above what a cold upstream bears.
+/// Guards against a sum over all instances above what a cold upstream bears, also where each would
+/// send only one request a second. Load pattern: a fleet larger than the cold rate after upstreams
+/// have started.
 #[rstest]
 #[case(1)]
 #[case(8)]
 #[case(12)]
 #[case(24)]
+#[case(74)]
+#[case(330)]
 fn cold_rate_holds_over_all_instances(#[case] instances: u32) {
     let mut total = 0;
+    let registered: Vec<_> = (0..instances).map(|i| id::Instance::new(&format!("i{i}"))).collect();
     for seed in 0..instances {
         let mut upstreams = balance::Upstreams::default();
         let mut cold = record("u0", 1);
@@ -233,7 +248,9 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed.into());
         for step in 0..200 {
             let now = NOW + Millis(step * 5);
-            let ask = Ask { instances, ..Ask::default() };
+            let own = registered[seed as usize].clone();
+            let registered = registered.clone();
+            let ask = Ask { instances, own, registered, ..Ask::default() };
             if let Ok((id, unread)) = ask.choose(&upstreams, now, &mut rng) {
                 let sent = balance::Sent { tokens: 100, unread };
                 upstreams.get_mut(&id).unwrap().start(&sent, now);
