Let prompts wait for an engine with room instead of preempting others

Change: an engine takes a prompt only if nine tenths of its KV cache hold it beside all requests in flight there; an idle engine takes any. While no engine has room, the prompt waits in its instance, as long as it can still be answered before its deadline and before its caller abandons the stream, and not while the instance stops. Otherwise it is refused as not run. The soft cost of a preemption is gone.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -14,6 +14,7 @@
 use damaskdrift_core::time::Millis;
 use hyper::Response;
 use hyper::http::request;
+use rand::RngExt as _;
 use tokio::time::Instant;
 
 use crate::entry::clock;
@@ -29,6 +30,13 @@
 /// weights older than the target version.
 const OLD_WEIGHTS_MARGIN: Millis = Millis(700);
 
+/// Range of the pause before a request that waits for room looks for it again, in milliseconds.
+/// Reports of other instances' load arrive about as often.
+const ROOM_CHECK_MS: std::ops::Range<u64> = 20..40;
+/// Multiple of an idle engine's time to the first chunk that must be left of a request's time for
+/// it to wait further.
+const SERVICE_TIME_MARGIN: u32 = 2;
+
 /// A request that the instance is forwarding.
 pub struct Job<'a> {
     /// State that the tasks of the instance share.
@@ -101,6 +109,11 @@
             }
             let (upstream, pending_prefill) = match self.choose_upstream() {
                 Ok(choice) => choice,
+                Err(balance::Unavailable::AtLimit) if self.may_wait() => {
+                    let pause_ms = self.entry.rng.borrow_mut().random_range(ROOM_CHECK_MS);
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    continue;
+                }
                 Err(unavailable) => return Err(self.unavailable(unavailable, &last_reason)),
             };
             match self.send(&upstream, pending_prefill).await {
@@ -136,10 +149,21 @@
         self.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()))
     }
 
+    /// Returns whether the request may wait for an upstream with room: as long as it could still be
+    /// answered before its deadline and before the caller leaves, and not while the instance stops.
+    fn may_wait(&self) -> bool {
+        let tokens = self.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+        let needed = Duration::from(balance::expected_first_chunk(tokens)) * SERVICE_TIME_MARGIN;
+        let patience = self.route.caller_patience.map(Duration::from);
+        let patience_left = patience.map(|p| p.saturating_sub(self.started.elapsed()));
+        let has_time = self.time_left().into_iter().chain(patience_left).all(|left| left > needed);
+        has_time && !self.entry.stopping.is_cancelled()
+    }
+
     fn unavailable(&self, unavailable: balance::Unavailable, last: &str) -> refusal::Refusal {
         let (code, reason) = match unavailable {
             balance::Unavailable::NoUpstream => (code::Code::NoUpstream, "no upstream takes work"),
-            balance::Unavailable::AtLimit(_) => (code::Code::Overloaded, "upstreams are at limits"),
+            balance::Unavailable::AtLimit => (code::Code::Overloaded, "upstreams are at limits"),
         };
         let refusal = refusal::Refusal::not_run(code, format!("{reason}; {last}"));
         forward::with_retry_after(self.entry, refusal)
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -33,8 +33,8 @@
 const COLD_COST_MS: f64 = 150.0;
 /// Cost of an upstream that is to be avoided, in addition to the remaining time.
 const AVOID_COST_MS: f64 = 50.0;
-/// Fraction of an engine's KV cache that requests of all instances may hold before a preemption is
-/// likely.
+/// Fraction of an engine's KV cache that requests of all instances may hold. The rest covers
+/// requests that other instances have sent and not yet reported.
 const KV_CACHE_FRACTION: f64 = 0.9;
 /// Cost of recomputing a prompt token that another engine has prefilled, in addition to the prefill
 /// time, because the work delays the requests behind it.
@@ -42,9 +42,6 @@
 /// Probability that the first and second preferred engine hold the shared segments of a prompt that
 /// this instance has not sent there.
 const PREFERRED_HIT_PROBABILITY: [f64; 2] = [0.9, 0.3];
-/// Cost of use beyond [`KV_CACHE_FRACTION`], per whole KV cache, because preempted prompts are
-/// recomputed.
-const PREEMPTION_COST_MS: f64 = 2_000.0;
 /// Time after a target version is learned from which responses from older weights lose value.
 const VERSION_GRACE: Millis = Millis(1_200);
 /// Cost of weights older than the target version after [`VERSION_GRACE`].
@@ -52,8 +49,6 @@
 /// Upper bound of the random part of a cost, which makes instances with equal state choose
 /// differently.
 const JITTER_MS: f64 = 1.0;
-/// Time after which to retry when all upstreams are at a limit.
-const LIMIT_RETRY_DELAY: Millis = Millis(200);
 
 /// Requirements of a request on its upstream.
 #[derive(Debug)]
@@ -83,8 +78,8 @@
 pub enum Unavailable {
     /// The service has no upstream that accepts requests.
     NoUpstream,
-    /// All usable upstreams are at a limit; one may have room after this time.
-    AtLimit(Millis),
+    /// All usable upstreams are at a limit.
+    AtLimit,
 }
 
 /// Context of the choice besides the upstreams.
@@ -180,7 +175,7 @@
         }
         match best {
             Some((_, upstream, prefill)) => Ok((upstream.record.id.clone(), prefill)),
-            None if is_limited => Err(Unavailable::AtLimit(LIMIT_RETRY_DELAY)),
+            None if is_limited => Err(Unavailable::AtLimit),
             None => Err(Unavailable::NoUpstream),
         }
     }
@@ -268,6 +263,15 @@
             return false;
         }
     }
+    // A preempted prompt is prefilled again, which takes the engine longer than the prompt waits.
+    // An idle engine takes a prompt of any size.
+    let load = upstream.load();
+    if let Some(engine) = req.service.engine
+        && load.tokens > 0
+        && (load.tokens + req.tokens) as f64 > engine.capacity_tokens as f64 * KV_CACHE_FRACTION
+    {
+        return false;
+    }
     // Counting one more instance leaves room for a restarted instance whose old connections are
     // still open.
     let connections = (req.service.connections / (instances + 1)).max(1);
@@ -322,10 +326,5 @@
     };
     let prefill = if req.fetch_time.is_some() { unshared } else { unshared + missing as u64 };
     cost += shared_ms + (load.pending_prefill + unshared) as f64 / PREFILL_TOKENS_PER_MS;
-    if let Some(engine) = req.service.engine {
-        let limit = engine.capacity_tokens as f64 * KV_CACHE_FRACTION;
-        let held = (load.tokens + req.tokens) as f64;
-        cost += PREEMPTION_COST_MS * ((held - limit) / engine.capacity_tokens as f64).max(0.0);
-    }
     (cost, prefill)
 }
--- a/damaskdrift_core/src/routing/document.rs
+++ b/damaskdrift_core/src/routing/document.rs
@@ -43,6 +43,9 @@
     pub timeout: Option<Millis>,
     /// Latency objective for the response, or for the first chunk of a stream.
     pub target_latency: Millis,
+    /// Time without a chunk after which callers abandon a stream; `None` if they wait until the
+    /// timeout.
+    pub caller_patience: Option<Millis>,
     /// Maximum number of upstreams on which one request may run.
     pub max_attempts: u32,
     /// Priority of the route's requests; 0 is the highest.
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -378,3 +378,38 @@
     let load = balance::Load { pending_prefill, ..balance::Load::default() };
     assert_eq!(balance::is_overdue(waited, load), want);
 }
+
+/// Guards against prompts that are sent to engines whose KV cache has no room: running ones are then
+/// preempted and prefilled again. Load pattern: long prompts arrive faster than the engines that are
+/// left can take them, among short ones.
+#[rstest]
+fn prompts_wait_until_an_engine_has_room() {
+    const LONG_TOKENS: u64 = 17_000;
+    let mut upstreams = fleet(9);
+    let mut rng = rng();
+    let long = Scenario { tokens: LONG_TOKENS, ..Scenario::default() };
+    let mut sent = 0;
+    while let Ok((id, prefill)) = long.choose(&upstreams, NOW, &mut rng) {
+        let request = balance::InFlightRequest { tokens: LONG_TOKENS, pending_prefill: prefill };
+        upstreams.get_mut(&id).unwrap().begin_request(&request, NOW);
+        sent += 1;
+        assert!(sent <= 27, "more long prompts than fit");
+    }
+    assert_eq!(sent, 27, "three long prompts fit into each engine");
+    assert_eq!(long.choose(&upstreams, NOW, &mut rng), Err(balance::Unavailable::AtLimit));
+    // Short prompts do not wait behind long ones.
+    let short = Scenario { tokens: 400, ..Scenario::default() };
+    assert!(short.choose(&upstreams, NOW, &mut rng).is_ok());
+    // One that ends makes room for the next.
+    let id = id::Upstream::new("u4");
+    let mut ended = balance::InFlightRequest { tokens: LONG_TOKENS, pending_prefill: 0 };
+    upstreams.get_mut(&id).unwrap().end_request(&mut ended);
+    assert_eq!(long.choose(&upstreams, NOW, &mut rng).map(|(chosen, _)| chosen), Ok(id));
+}
+
+/// Guards against a prompt larger than the usable part of a KV cache that never finds room.
+#[rstest]
+fn idle_engine_takes_a_prompt_of_any_size() {
+    let scenario = Scenario { tokens: 71_000, ..Scenario::default() };
+    assert!(scenario.choose(&fleet(2), NOW, &mut rng()).is_ok());
+}
--- a/damaskdrift_core/tests/entry.rs
+++ b/damaskdrift_core/tests/entry.rs
@@ -20,6 +20,7 @@
         is_stream: false,
         timeout: None,
         target_latency: Millis(100),
+        caller_patience: None,
         max_attempts: 1,
         priority: 0,
         allows_anonymous,
