--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -45,6 +45,9 @@
 const LOWEST_PRIORITY: u8 = 9;
 /// Largest discarded response body that is read to its end so that the connection can be reused.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// Time after which a discarded response body that has not ended closes the connection. A body
+/// this small arrives together with its head.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The upstream sent no response head within this time.
 struct NoResponse {
@@ -205,8 +208,9 @@
     ) {
         let client = self.entry.client.clone();
         tokio::task::spawn_local(async move {
+            let read = Limited::new(incoming, MAX_DISCARDED_BYTES).collect();
             // A failed read isn't logged: it closes the connection, and the outcome is known.
-            if Limited::new(incoming, MAX_DISCARDED_BYTES).collect().await.is_ok() {
+            if let Ok(Ok(_)) = tokio::time::timeout(DISCARD_TIMEOUT, read).await {
                 client.pool().put(address, conn, &parts);
             }
         });
