Lay the fleet out once for a batch of registrations

Cause: an instance that lists the platform's store computed the layout of the fleet after each registration, which sorts all instances, and logged every registration again, also unchanged ones.

Change: a batch is applied together; unchanged registrations are not logged, and a batch of more than eight is logged as one line.

--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -252,6 +252,8 @@
 /// Applies items of the store and returns what they list.
 fn apply(entry: &state::Entry, connectivity: &mut Connectivity, items: &[port::Item]) -> Listed {
     let mut listed = Listed::default();
+    // Applied together, since each change of the fleet lays it out anew.
+    let mut registrations = Vec::new();
     for item in items {
         let Some(change) = entry.port.decode_item(item) else {
             continue;
@@ -276,11 +278,10 @@
                 }
             }
             port::Change::Instance(instance, registration) => {
-                log::info!(instance:%, registration:?; "registration of an instance changed");
                 if registration.is_some() {
                     listed.instances.insert(instance.clone());
                 }
-                entry.set_instance(instance, registration);
+                registrations.push((instance, registration));
             }
             port::Change::Leader(leader) => {
                 let current = leader.as_ref().map(|(id, fence)| (id.as_str(), fence.0));
@@ -294,6 +295,7 @@
             }
         }
     }
+    entry.update_instances(registrations);
     listed
 }
 
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -30,6 +30,10 @@
 /// serve for some time without the platform store.
 const DEREGISTERED_RETENTION: Millis = Millis(10_000);
 
+/// Largest number of registrations in one batch that are logged one by one. A list of the platform
+/// store holds those of the whole fleet.
+const MAX_LOGGED_REGISTRATIONS: usize = 8;
+
 /// An instance that is registered or was until recently.
 #[derive(Clone, Debug)]
 struct Member {
@@ -204,9 +208,21 @@
             && self.staleness() == config_sync::Staleness::Fresh
     }
 
-    /// Records that an instance registered, or that its registration ended (`None`).
-    pub fn set_instance(&self, instance: id::Instance, registration: Option<port::Registration>) {
-        {
+    /// Records which instances registered and whose registrations ended (`None`).
+    pub fn update_instances(&self, changes: Vec<(id::Instance, Option<port::Registration>)>) {
+        if changes.is_empty() {
+            return;
+        }
+        let is_logged = changes.len() <= MAX_LOGGED_REGISTRATIONS;
+        let (mut changed, total) = (0, changes.len());
+        for (instance, registration) in changes {
+            if self.registration(&instance) == registration {
+                continue;
+            }
+            changed += 1;
+            if is_logged {
+                log::info!(instance:%, registration:?; "registration of an instance changed");
+            }
             let mut instances = self.instances.borrow_mut();
             match registration {
                 Some(registration) => {
@@ -219,6 +235,9 @@
                 }
             }
         }
+        if !is_logged {
+            log::info!(changed, total; "registrations of instances listed");
+        }
         self.update_layout();
     }
 
