Judge from the reports of all instances whether an upstream is silent

Cause: each instance learned alone that an engine was dark, by three errors in a row there, and forgot it after 1 to 4 s. In a fleet of hundreds an instance seldom sends three requests to the same engine.

Change: load reports also say when each reporter last heard from an upstream and since when it waits. An upstream is silent once two requests or more wait there and nobody has heard from it for 700 ms beyond what its queue of prefill explains. It then gets no requests for 2 s and, until a byte arrives, those of about two instances. If most upstreams of a service are silent, all stay in use. Older instances ignore the new field.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -200,8 +200,12 @@
 
     /// Returns whether a response awaited for `waited` is overdue even under the upstream's load.
     pub fn is_overdue(&self, id: &id::Upstream, waited: Millis) -> bool {
-        let load = self.entry.upstreams.borrow().get(id).map(balance::Upstream::load);
-        load.is_none_or(|load| balance::is_overdue(waited, load))
+        let upstreams = self.entry.upstreams.borrow();
+        let Some(upstream) = upstreams.get(id) else {
+            return true;
+        };
+        let is_silent = upstream.response(clock::now()) != balance::Response::Usual;
+        is_silent || balance::is_overdue(waited, upstream.load())
     }
 
     /// Returns the workspace if it shares no cached prompt segments with others.
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -158,6 +158,7 @@
         plan_summary: &'static str,
     ) -> job::Outcome {
         let (parts, incoming) = response.into_parts();
+        guard.record_contact();
         match self.entry.port.check_response(&parts, &self.head.id) {
             port::ResponseCheck::Valid => {}
             port::ResponseCheck::NotRun => {
--- a/damaskdrift/src/entry/peers/mod.rs
+++ b/damaskdrift/src/entry/peers/mod.rs
@@ -7,7 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use damaskdrift_core::balance;
+use damaskdrift_core::id;
 use damaskdrift_core::membership;
+use damaskdrift_core::time::Millis;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task;
@@ -52,17 +55,47 @@
 pub async fn run(entry: Rc<state::Entry>) {
     let (tx, rx) = watch::channel(outgoing(&entry));
     task::spawn_local(connect(entry.clone(), rx));
+    let mut silent = BTreeSet::new();
     loop {
         // A report is due after a change as well as after the timeout.
         let _ = tokio::time::timeout(MAX_REPORT_INTERVAL, entry.report_due.notified()).await;
         let now = clock::now();
         entry.upstreams.borrow_mut().sum_reports(now);
         entry.observed_weights.borrow_mut().expire(now);
+        log_silence(&entry, &mut silent, now);
         tx.send_replace(outgoing(&entry));
         tokio::time::sleep(report_pause(&entry)).await;
     }
 }
 
+/// Logs which upstreams have fallen silent or are heard again.
+fn log_silence(entry: &state::Entry, known: &mut BTreeSet<id::Upstream>, now: Millis) {
+    let upstreams = entry.upstreams.borrow();
+    let mut silent = BTreeSet::new();
+    for upstream in upstreams.iter() {
+        if upstream.response(now) == balance::Response::Usual {
+            continue;
+        }
+        let id = &upstream.record.id;
+        if !known.contains(id) {
+            let load = upstream.load();
+            let age_ms = |at: Option<Millis>| at.map(|at| now.since(at).0);
+            log::warn!(
+                upstream:% = id, in_flight = load.in_flight,
+                heard_ms_ago:? = age_ms(load.contact.heard_at),
+                waiting_ms:? = age_ms(load.contact.waiting_since);
+                "upstream is silent"
+            );
+        }
+        silent.insert(id.clone());
+    }
+    for id in known.difference(&silent) {
+        log::info!(upstream:% = id; "upstream is no longer silent");
+    }
+    metrics::gauge!("upstreams_silent").set(silent.len() as f64);
+    *known = silent;
+}
+
 /// Returns the pause after a report, which grows with the number of links.
 fn report_pause(entry: &state::Entry) -> Duration {
     let layout = entry.layout();
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -11,7 +11,7 @@
 
 /// Returns the report of this instance's own load.
 pub fn own(entry: &state::Entry) -> message::Frame {
-    let loads = entry.upstreams.borrow().load_by_upstream(|_| false);
+    let loads = entry.upstreams.borrow().load_by_upstream(|_| false, clock::now());
     encode(entry, message::Scope::Own, loads, |reporter| reporter.is_none())
 }
 
@@ -19,7 +19,7 @@
 pub fn domain(entry: &state::Entry) -> message::Frame {
     let is_instance =
         |reporter: &balance::Reporter| matches!(reporter, balance::Reporter::Instance(_));
-    let loads = entry.upstreams.borrow().load_by_upstream(is_instance);
+    let loads = entry.upstreams.borrow().load_by_upstream(is_instance, clock::now());
     let scope = message::Scope::Domain(entry.settings.domain.to_string());
     encode(entry, scope, loads, |reporter| reporter.is_none_or(is_instance))
 }
@@ -28,7 +28,8 @@
 /// store. `echo` is the send time in the receiver's latest report.
 pub fn others(entry: &state::Entry, receiver: &id::Instance, echo: u64) -> message::Frame {
     let receiver = balance::Reporter::Instance(receiver.clone());
-    let loads = entry.upstreams.borrow().load_by_upstream(|reporter| *reporter != receiver);
+    let loads =
+        entry.upstreams.borrow().load_by_upstream(|reporter| *reporter != receiver, clock::now());
     let mut frame =
         encode(entry, message::Scope::Others, loads, |reporter| reporter != Some(&receiver));
     if let message::Frame::Load(load) = &mut frame {
@@ -45,8 +46,11 @@
 ) -> message::Frame {
     let now = clock::now();
     let mut upstreams = Vec::with_capacity(loads.len());
+    let mut contacts = Vec::with_capacity(loads.len());
     for (upstream, load) in loads {
         upstreams.push((upstream.to_string(), load.in_flight, load.tokens, load.pending_prefill));
+        let age_ms = |at: Option<Millis>| at.map(|at| now.since(at).0);
+        contacts.push((age_ms(load.contact.heard_at), age_ms(load.contact.waiting_since)));
     }
     let observed = entry.observed_weights.borrow();
     let mut weights = Vec::new();
@@ -75,6 +79,7 @@
         store_view: None,
         missing_snapshots: missing.iter().map(id::Upstream::to_string).collect(),
         upstreams,
+        contacts,
         weights,
         loading,
     })
@@ -106,8 +111,12 @@
         return;
     }
     let mut loads = Vec::with_capacity(report.upstreams.len());
+    let mut contacts = report.contacts.into_iter();
     for (upstream, in_flight, tokens, pending_prefill) in report.upstreams {
-        let load = balance::Load { in_flight, tokens, pending_prefill };
+        let (heard, waiting) = contacts.next().unwrap_or_default();
+        let at = |age_ms: Option<u64>| age_ms.map(|age_ms| now - Millis(age_ms));
+        let contact = balance::Contact { heard_at: at(heard), waiting_since: at(waiting) };
+        let load = balance::Load { in_flight, tokens, pending_prefill, contact };
         loads.push((id::Upstream::new(&upstream), load));
     }
     entry.upstreams.borrow_mut().set_report(reporter, loads, now);
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Records that something arrived from the upstream.
+    pub fn record_contact(&self) {
+        if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
+            upstream.record_contact(clock::now());
+        }
+    }
+
     /// Updates the upstream's health from the result of this request.
     pub fn observe(&self, observation: balance::Observation) {
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
@@ -174,6 +181,7 @@
         };
         match Pin::new(&mut body.incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
+                body.guard.record_contact();
                 if !body.has_received_chunk {
                     body.has_received_chunk = true;
                     body.guard.observe_first_chunk();
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -136,6 +136,10 @@
     /// Per busy upstream: requests in flight, their tokens, and tokens of pending prefill.
     #[serde(rename = "u")]
     pub upstreams: Vec<(String, u32, u64, u64)>,
+    /// For each entry of `upstreams`, milliseconds since a byte arrived from there, and for which
+    /// requests have been in flight there; absent from older instances.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub contacts: Vec<(Option<u64>, Option<u64>)>,
     /// Weights that upstreams reported: upstream, model and version.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub weights: Vec<(String, String, u64)>,
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, RngExt as _};
 use xxhash_rust::xxh3;
 
+use crate::balance::contact;
 use crate::balance::upstream;
 use crate::id;
 use crate::prefix_cache;
@@ -33,6 +34,9 @@
 const COLD_COST_MS: f64 = 150.0;
 /// Cost of an upstream that is to be avoided, in addition to the remaining time.
 const AVOID_COST_MS: f64 = 50.0;
+/// Number of instances that on average send requests to an upstream that was silent, until it
+/// responds.
+const PROBING_INSTANCES: f64 = 2.0;
 /// Fraction of an engine's KV cache that requests of all instances may hold. The rest covers
 /// requests that other instances have sent and not yet reported.
 const KV_CACHE_FRACTION: f64 = 0.9;
@@ -142,16 +146,24 @@
             .collect();
         let mean_failure_rate = candidates.iter().map(|u| u.health.failure_rate()).sum::<f64>()
             / candidates.len() as f64;
-        let ejected = candidates.iter().filter(|u| u.health.is_ejected(now)).count();
+        let is_ejected = |u: &upstream::Upstream| {
+            u.health.is_ejected(now) || u.response(now) != contact::Response::Usual
+        };
+        let is_probed = |u: &upstream::Upstream| {
+            !u.health.is_ejected(now) && u.response(now) == contact::Response::Probed
+        };
+        let ejected = candidates.iter().filter(|u| is_ejected(u)).count();
         // When most upstreams fail, the cause is more likely at this instance or common to all.
         let may_eject = ejected * 2 <= candidates.len();
         let preferred = preferred_engines(&candidates, req);
+        let may_probe =
+            rng.random_bool((PROBING_INSTANCES / f64::from(cx.instance_count.max(1))).min(1.0));
         let spread = spread_ms(&candidates, req, cx);
         let mut best: Option<(f64, &upstream::Upstream, u64)> = None;
         let mut is_limited = false;
         for upstream in candidates {
             if req.tried.contains(&upstream.record.id)
-                || (may_eject && upstream.health.is_ejected(now))
+                || (may_eject && is_ejected(upstream) && !(may_probe && is_probed(upstream)))
             {
                 continue;
             }
--- a/damaskdrift_core/src/balance/mod.rs
+++ b/damaskdrift_core/src/balance/mod.rs
@@ -1,9 +1,11 @@
 //! Chooses the upstream of a request from the state that one instance knows.
 
 mod choice;
+mod contact;
 mod health;
 mod upstream;
 
 pub use choice::{Context, Requirements, Unavailable, expected_first_chunk, is_overdue};
+pub use contact::{Contact, Response};
 pub use health::{Health, Observation};
 pub use upstream::{InFlightRequest, Load, Record, Reporter, Upstream, Upstreams, Weights};
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -6,6 +6,7 @@
 
 use derive_more::AddAssign;
 
+use crate::balance::contact;
 use crate::balance::health;
 use crate::id;
 use crate::time::Millis;
@@ -68,6 +69,8 @@
     /// Prompt tokens that were to be prefilled when these requests were sent, counted only for
     /// requests without a first chunk.
     pub pending_prefill: u64,
+    /// When these instances last heard from the upstream, and since when they wait.
+    pub contact: contact::Contact,
 }
 
 /// A request that an upstream has not finished, with its share of the upstream's load.
@@ -93,6 +96,7 @@
     /// Time until which requests avoid the upstream, because it refused one as full or is loading
     /// weights.
     pub avoid_until: Millis,
+    silence: contact::Silence,
     cold_until: Millis,
     recent_sends: VecDeque<Millis>,
     /// Time of the last use of each remembered segment, by salt and segment id.
@@ -131,6 +135,7 @@
             own: Load::default(),
             others: Load::default(),
             avoid_until: Millis(0),
+            silence: contact::Silence::default(),
             cold_until,
             recent_sends: VecDeque::new(),
             segments: HashMap::new(),
@@ -150,11 +155,25 @@
 
     /// Returns the load from all instances.
     pub fn load(&self) -> Load {
-        Load {
-            in_flight: self.own.in_flight + self.others.in_flight,
-            tokens: self.own.tokens + self.others.tokens,
-            pending_prefill: self.own.pending_prefill + self.others.pending_prefill,
-        }
+        let mut load = self.own;
+        load += self.others;
+        load
+    }
+
+    /// Records that something arrived from the upstream.
+    pub fn record_contact(&mut self, now: Millis) {
+        self.own.contact.heard_at = Some(now);
+        self.update_silence(now);
+    }
+
+    /// Returns whether the upstream responds, as far as the evidence of all instances shows.
+    pub fn response(&self, now: Millis) -> contact::Response {
+        self.silence.response(now)
+    }
+
+    fn update_silence(&mut self, now: Millis) {
+        let load = self.load();
+        self.silence.update(load.in_flight, load.pending_prefill, load.contact, now);
     }
 
     /// Returns how many requests this instance sent to the upstream within the window over which
@@ -170,6 +189,7 @@
 
     /// Adds a sent request to the load.
     pub fn begin_request(&mut self, req: &InFlightRequest, now: Millis) {
+        self.own.contact.waiting_since.get_or_insert(now);
         self.own.in_flight += 1;
         self.own.tokens += req.tokens;
         self.own.pending_prefill += req.pending_prefill;
@@ -190,6 +210,9 @@
     pub fn end_request(&mut self, req: &mut InFlightRequest) {
         self.finish_prefill(req);
         self.own.in_flight = self.own.in_flight.saturating_sub(1);
+        if self.own.in_flight == 0 {
+            self.own.contact.waiting_since = None;
+        }
         self.own.tokens = self.own.tokens.saturating_sub(std::mem::take(&mut req.tokens));
     }
 
@@ -304,16 +327,23 @@
                 }
             }
         }
+        for upstream in self.all.values_mut() {
+            upstream.update_silence(now);
+        }
     }
 
-    /// Returns the load from this instance and the selected reporters, ordered by upstream.
+    /// Returns the load from this instance and the selected reporters, ordered by upstream, of the
+    /// upstreams that have requests in flight or were heard recently.
     pub fn load_by_upstream(
         &self,
         includes: impl Fn(&Reporter) -> bool,
+        now: Millis,
     ) -> Vec<(id::Upstream, Load)> {
         let mut sums: BTreeMap<&id::Upstream, Load> = BTreeMap::new();
         for (id, upstream) in &self.all {
-            if upstream.own.in_flight > 0 {
+            let heard_at = upstream.own.contact.heard_at;
+            let is_heard = heard_at.is_some_and(|at| now.since(at) < REPORT_TTL);
+            if upstream.own.in_flight > 0 || is_heard {
                 sums.insert(id, upstream.own);
             }
         }
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -220,7 +220,8 @@
 fn peer_report_expires() {
     let mut upstreams = fleet(1);
     let id = id::Upstream::new("u0");
-    let load = balance::Load { in_flight: 3, tokens: 9, pending_prefill: 9 };
+    let load =
+        balance::Load { in_flight: 3, tokens: 9, pending_prefill: 9, ..balance::Load::default() };
     upstreams.set_report(
         balance::Reporter::Instance(id::Instance::new("p")),
         vec![(id.clone(), load)],
