Halve the reports to leaves and send updates of cache stores with them

Both relays of a failure domain sent each of 59 leaves a report every 50 ms, and every page of events of 30 cache stores in a frame of its own.

Change: a leaf gets reports every 50 ms from its first relay, chosen by rendezvous hashing, and every 250 ms from the other one. Updates of cache stores wait for the next report, contiguous ones are joined, and their age counts on while they wait. Requests log how long they waited for room.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -63,6 +63,8 @@
     pub attempts: u32,
     /// Whether an upstream may have run the request without its response being forwarded.
     pub may_have_run: bool,
+    /// How long the request has waited for an upstream with room.
+    pub waited: Duration,
     /// Whether a retry was already taken from the retry limit for the next attempt.
     pub has_retry: bool,
 }
@@ -111,7 +113,9 @@
                 Ok(choice) => choice,
                 Err(balance::Unavailable::AtLimit) if self.may_wait() => {
                     let pause_ms = self.entry.rng.borrow_mut().random_range(ROOM_CHECK_MS);
-                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    let pause = Duration::from_millis(pause_ms);
+                    tokio::time::sleep(pause).await;
+                    self.waited += pause;
                     continue;
                 }
                 Err(unavailable) => return Err(self.unavailable(unavailable, &last_reason)),
@@ -165,7 +169,9 @@
             balance::Unavailable::NoUpstream => (code::Code::NoUpstream, "no upstream takes work"),
             balance::Unavailable::AtLimit => (code::Code::Overloaded, "upstreams are at limits"),
         };
-        let refusal = refusal::Refusal::not_run(code, format!("{reason}; {last}"));
+        let waited_ms = self.waited.as_millis();
+        let reason = format!("{reason}; waited {waited_ms} ms for room; {last}");
+        let refusal = refusal::Refusal::not_run(code, reason);
         forward::with_retry_after(self.entry, refusal)
     }
 
--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -118,6 +118,7 @@
         tried: Vec::new(),
         attempts: 0,
         may_have_run: false,
+        waited: Duration::ZERO,
         has_retry: false,
     };
     job.run().await
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -349,11 +349,12 @@
             self.head.prompt.as_ref().and_then(|prompt| prompt.segments.iter().nth_back(1));
         let root = shared.map_or(0, |segment| segment.id);
         metrics::counter!("answers", "status" => status.as_str().to_owned()).increment(1);
+        metrics::histogram!("room_wait_seconds").record(self.waited.as_secs_f64());
         metrics::histogram!("answer_head_seconds").record(self.started.elapsed().as_secs_f64());
         log::info!(
             request = self.head.id.as_str(), route = &*self.route.name, upstream:% = id,
             status = status.as_u16(), sends = self.attempts, kept = plan_summary, root,
-            head_ms = head_ms as u64;
+            head_ms = head_ms as u64, waited_ms = self.waited.as_millis() as u64;
             "answer passed on"
         );
     }
--- a/damaskdrift/src/entry/peers/link.rs
+++ b/damaskdrift/src/entry/peers/link.rs
@@ -7,12 +7,14 @@
 
 use damaskdrift_core::id;
 use damaskdrift_core::membership;
+use damaskdrift_core::time::Millis;
 use tokio::net::TcpStream;
 use tokio::sync::{broadcast, watch};
 use tokio::time::Instant;
 use tokio_tungstenite::WebSocketStream;
 
 use crate::entry::cache_stores;
+use crate::entry::clock;
 use crate::entry::peers;
 use crate::entry::peers::report;
 use crate::entry::state;
@@ -98,6 +100,7 @@
     let mut echo = 0;
     let mut last_contact = Instant::now();
     let mut next_report = Instant::now();
+    let mut updates = StoreUpdates::default();
     loop {
         let is_relayed = leaf.is_some() && entry.layout().role == membership::Role::Relay;
         tokio::select! {
@@ -122,7 +125,10 @@
                 apply(entry, frame);
             }
             frame = relay_rx.recv() => match frame {
-                Ok(frame) if is_relayed => send(&mut stream, &frame).await?,
+                Ok(frame) if is_relayed => match frame.as_ref() {
+                    message::Frame::CacheStoreUpdate(update) => updates.push(update),
+                    _ => send(&mut stream, &frame).await?,
+                },
                 // A peer that missed frames detects the gap; it then lists the platform store
                 // itself or requests a snapshot of the cache store.
                 Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => {}
@@ -130,9 +136,12 @@
             },
             () = tokio::time::sleep_until(next_report), if is_relayed => {
                 if let Some(leaf) = &leaf {
+                    for update in updates.take() {
+                        feed(&mut stream, &message::Frame::CacheStoreUpdate(update)).await?;
+                    }
                     send(&mut stream, &report::others(entry, &leaf.id, echo)).await?;
+                    next_report = Instant::now() + peers::leaf_report_pause(entry, &leaf.id);
                 }
-                next_report = Instant::now() + peers::RELAY_REPORT_PAUSE;
             }
             () = tokio::time::sleep_until(last_contact + SILENCE_TIMEOUT) => {
                 let reason = "no frame from the peer within the silence timeout";
@@ -142,6 +151,38 @@
     }
 }
 
+/// Updates of cache stores that are sent to a leaf together with the next report, since a frame of
+/// its own for each costs leaf and relay more than all the rest.
+#[derive(Debug, Default)]
+struct StoreUpdates {
+    /// When each update was received, and the update.
+    queued: Vec<(Millis, message::CacheStoreUpdate)>,
+}
+
+impl StoreUpdates {
+    fn push(&mut self, update: &message::CacheStoreUpdate) {
+        let now = clock::now();
+        for (queued_at, queued) in &mut self.queued {
+            if queued.append(update) {
+                *queued_at = now;
+                return;
+            }
+        }
+        self.queued.push((now, update.clone()));
+    }
+
+    /// Returns the queued updates in order, with their ages as of now.
+    fn take(&mut self) -> Vec<message::CacheStoreUpdate> {
+        let now = clock::now();
+        let mut updates = Vec::with_capacity(self.queued.len());
+        for (queued_at, mut update) in self.queued.drain(..) {
+            update.age_ms += now.since(queued_at).0;
+            updates.push(update);
+        }
+        updates
+    }
+}
+
 /// A connected instance of the same failure domain, counted while this value exists.
 #[derive(Debug)]
 struct Leaf {
@@ -202,7 +243,19 @@
     stream: &mut WebSocketStream<TcpStream>,
     frame: &message::Frame,
 ) -> Result<(), Error> {
-    let sent = tokio::time::timeout(SEND_TIMEOUT, socket::send(stream, frame)).await;
+    with_send_timeout(socket::send(stream, frame)).await
+}
+
+/// Queues a frame that is sent together with the next one.
+async fn feed(
+    stream: &mut WebSocketStream<TcpStream>,
+    frame: &message::Frame,
+) -> Result<(), Error> {
+    with_send_timeout(socket::feed(stream, frame)).await
+}
+
+async fn with_send_timeout(sent: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let sent = tokio::time::timeout(SEND_TIMEOUT, sent).await;
     sent.map_err(|_| {
         Error::Unreachable("the peer did not accept a frame within the send timeout".to_owned())
     })?
--- a/damaskdrift/src/entry/peers/mod.rs
+++ b/damaskdrift/src/entry/peers/mod.rs
@@ -26,6 +26,9 @@
 /// Minimum pause after a report to or from a relay: every report is multiplied by the number of
 /// instances in a failure domain.
 const RELAY_REPORT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two reports of a relay to a leaf whose first relay is another one. They keep the
+/// leaf's view usable until it gets a new first relay.
+const STANDBY_REPORT_PAUSE: Duration = Duration::from_millis(250);
 /// Maximum time between two reports; receivers discard a report after 1.5 s.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// How often the connections are compared with the links of the layout.
@@ -107,6 +110,16 @@
     }
 }
 
+/// Returns the pause between two reports of this relay to a leaf.
+fn leaf_report_pause(entry: &state::Entry, leaf: &id::Instance) -> Duration {
+    let layout = entry.layout();
+    if layout.is_first_relay(&entry.settings.instance, leaf) {
+        RELAY_REPORT_PAUSE
+    } else {
+        STANDBY_REPORT_PAUSE
+    }
+}
+
 fn outgoing(entry: &state::Entry) -> Outgoing {
     let own = Rc::new(report::own(entry));
     let domain = match entry.layout().role {
--- a/damaskdrift/src/lib.rs
+++ b/damaskdrift/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod logging;
 pub mod metrics;
 mod operator;
-mod peer;
+pub mod peer;
 mod platform;
 mod serve;
 mod settings;
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -287,6 +287,24 @@
     pub counts: String,
 }
 
+impl CacheStoreUpdate {
+    /// Extends this update by the next one of the same store, and returns whether it continues this
+    /// one without a gap.
+    pub fn append(&mut self, next: &Self) -> bool {
+        let continues = self.store == next.store
+            && self.epoch == next.epoch
+            && self.range.1 == next.range.0
+            && !next.is_snapshot;
+        if continues {
+            self.range.1 = next.range.1;
+            self.age_ms = next.age_ms;
+            self.events.extend_from_slice(&next.events);
+            self.clock_ms = next.clock_ms.or(self.clock_ms);
+        }
+        continues
+    }
+}
+
 impl FleetValue {
     /// Parses and resolves the document.
     ///
--- a/damaskdrift/src/peer/socket.rs
+++ b/damaskdrift/src/peer/socket.rs
@@ -145,10 +145,23 @@
 pub async fn send<S: AsyncRead + AsyncWrite + Unpin>(
     stream: &mut WebSocketStream<S>,
     frame: &message::Frame,
+) -> Result<(), Error> {
+    feed(stream, frame).await?;
+    stream.flush().await.map_err(|error| from_websocket(&error))
+}
+
+/// Encodes a frame, counts its bytes in the metrics and queues it, to be sent with the next frame.
+///
+/// # Errors
+///
+/// Returns why the connection failed or the frame is invalid.
+pub async fn feed<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: &mut WebSocketStream<S>,
+    frame: &message::Frame,
 ) -> Result<(), Error> {
     let bytes = frame.encode()?;
     metrics::counter!("damaskdrift_peer_sent_bytes_total").increment(bytes.len() as u64);
-    stream.send(Message::Binary(bytes)).await.map_err(|error| from_websocket(&error))
+    stream.feed(Message::Binary(bytes)).await.map_err(|error| from_websocket(&error))
 }
 
 /// Receives the next frame; cancellation between frames loses none.
--- a/damaskdrift/tests/peer.rs
+++ b/damaskdrift/tests/peer.rs
@@ -4,6 +4,7 @@
 use std::process;
 use std::time::Duration;
 
+use damaskdrift::peer::message;
 use damaskdrift_lab::harness::{address, instance};
 use futures_util::{SinkExt as _, StreamExt as _};
 use rstest::rstest;
@@ -213,3 +214,40 @@
     let reply = receive(&mut socket).await.expect("a reply");
     assert_eq!(reply["a"][1]["Fleet"]["revision"], installed);
 }
+
+fn update(epoch: u64, range: (u64, u64), age_ms: u64) -> message::CacheStoreUpdate {
+    message::CacheStoreUpdate {
+        store: "store".to_owned(),
+        epoch,
+        range,
+        age_ms,
+        is_snapshot: false,
+        events: vec![(true, "salt".to_owned(), range.1, 1_000)],
+        clock_ms: None,
+    }
+}
+
+/// Guards against joined updates of a cache store that hide a gap or a restart, or that make the
+/// knowledge look more recent than it is.
+#[rstest]
+#[case::next(update(1, (12, 15), 40), true)]
+#[case::gap(update(1, (13, 15), 40), false)]
+#[case::restarted(update(2, (12, 15), 40), false)]
+#[case::snapshot(
+    message::CacheStoreUpdate { is_snapshot: true, ..update(1, (12, 15), 40) },
+    false
+)]
+fn only_contiguous_updates_are_joined(
+    #[case] next: message::CacheStoreUpdate,
+    #[case] is_joined: bool,
+) {
+    let mut first = update(1, (10, 12), 300);
+    let before = first.clone();
+    assert_eq!(first.append(&next), is_joined);
+    if is_joined {
+        assert_eq!((first.range, first.age_ms), ((10, 15), 40));
+        assert_eq!(first.events.len(), 2);
+    } else {
+        assert_eq!(first, before);
+    }
+}
--- a/damaskdrift_core/src/membership/roles.rs
+++ b/damaskdrift_core/src/membership/roles.rs
@@ -65,6 +65,18 @@
     pub links: BTreeMap<id::Instance, Scope>,
 }
 
+impl Layout {
+    /// Returns whether the relay `own` is the first of its failure domain's relays for a leaf, by
+    /// rendezvous hashing: each leaf gets frequent reports from one relay only.
+    pub fn is_first_relay(&self, own: &id::Instance, leaf: &id::Instance) -> bool {
+        let seed = tie_break(leaf);
+        let score = |relay: &id::Instance| xxh3::xxh3_64_with_seed(relay.as_str().as_bytes(), seed);
+        let own_score = score(own);
+        let same_domain = self.links.iter().filter(|(_, scope)| **scope == Scope::Own);
+        same_domain.into_iter().all(|(relay, _)| score(relay) <= own_score)
+    }
+}
+
 /// Returns the role and links of `own` among the registered instances.
 ///
 /// The result depends only on the arguments, so instances with the same list of members agree
--- a/damaskdrift_core/tests/relays.rs
+++ b/damaskdrift_core/tests/relays.rs
@@ -128,3 +128,25 @@
         assert_eq!(layout.watchers, count);
     }
 }
+
+// Guards against leaves that get frequent reports from all relays of their domain, which costs twice
+// what they need, or from none.
+#[rstest]
+#[case(3, 29)]
+#[case(5, 59)]
+fn each_leaf_has_one_first_relay(#[case] domains: usize, #[case] per_domain: usize) {
+    let fleet = Fleet::new(domains, per_domain);
+    let layouts = fleet.layouts();
+    let mut leaves_of: BTreeMap<&id::Instance, usize> = BTreeMap::new();
+    for (leaf, layout) in &layouts {
+        if layout.role != membership::Role::Leaf {
+            continue;
+        }
+        let relays =
+            layout.links.keys().filter(|relay| layouts[*relay].is_first_relay(relay, leaf));
+        let relays: Vec<_> = relays.collect();
+        assert_eq!(relays.len(), 1, "{leaf}");
+        *leaves_of.entry(relays[0]).or_default() += 1;
+    }
+    assert_eq!(leaves_of.len(), domains * 2, "every relay is the first one of some leaves");
+}
