Bound the requests that wait for room in an instance

Cause: each waiting request looks for room every 20 to 40 ms, which costs a choice among all engines; some hundred of them would take all of a small instance's processor.

Change: the pause grows by 4 ms for each waiting request, and beyond 64 waiting requests the next one is refused at once as not run. The gauge requests_waiting shows them.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -33,6 +33,12 @@
 /// Range of the pause before a request that waits for room looks for it again, in milliseconds.
 /// Reports of other instances' load arrive about as often.
 const ROOM_CHECK_MS: std::ops::Range<u64> = 20..40;
+/// Addition to that pause for each waiting request, which bounds the time that an instance spends on
+/// looking to about a hundredth of a core.
+const ROOM_CHECK_PER_WAITING: Duration = Duration::from_millis(4);
+/// Number of waiting requests beyond which the next one is refused at once. With more, an instance
+/// looks for room for each less than three times a second, and most would wait in vain.
+const MAX_WAITING: u32 = 64;
 /// Multiple of an idle engine's time to the first chunk that must be left of a request's time for
 /// it to wait further.
 const SERVICE_TIME_MARGIN: u32 = 2;
@@ -69,6 +75,24 @@
     pub has_retry: bool,
 }
 
+/// A request that counts as waiting for room until this value is dropped, also if its caller leaves.
+struct WaitingRequest<'a> {
+    entry: &'a Rc<state::Entry>,
+}
+
+impl<'a> WaitingRequest<'a> {
+    fn new(entry: &'a Rc<state::Entry>) -> Self {
+        entry.waiting.set(entry.waiting.get() + 1);
+        Self { entry }
+    }
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        self.entry.waiting.set(self.entry.waiting.get().saturating_sub(1));
+    }
+}
+
 /// The outcome of one attempt.
 pub enum Outcome {
     /// The upstream's response, to be forwarded to the caller.
@@ -112,10 +136,7 @@
             let (upstream, pending_prefill) = match self.choose_upstream() {
                 Ok(choice) => choice,
                 Err(balance::Unavailable::AtLimit) if self.may_wait() => {
-                    let pause_ms = self.entry.rng.borrow_mut().random_range(ROOM_CHECK_MS);
-                    let pause = Duration::from_millis(pause_ms);
-                    tokio::time::sleep(pause).await;
-                    self.waited += pause;
+                    self.wait_for_room().await;
                     continue;
                 }
                 Err(unavailable) => return Err(self.unavailable(unavailable, &last_reason)),
@@ -153,15 +174,29 @@
         self.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()))
     }
 
+    /// Waits until the next look for an upstream with room.
+    async fn wait_for_room(&mut self) {
+        let waiting = WaitingRequest::new(self.entry);
+        let pause_ms = self.entry.rng.borrow_mut().random_range(ROOM_CHECK_MS);
+        let by_waiting = ROOM_CHECK_PER_WAITING * self.entry.waiting.get();
+        let pause = Duration::from_millis(pause_ms) + by_waiting;
+        tokio::time::sleep(pause).await;
+        drop(waiting);
+        self.waited += pause;
+    }
+
     /// Returns whether the request may wait for an upstream with room: as long as it could still be
-    /// answered before its deadline and before the caller leaves, and not while the instance stops.
+    /// answered before its deadline and before the caller leaves, unless too many wait already or
+    /// the instance stops.
     fn may_wait(&self) -> bool {
+        if self.entry.waiting.get() >= MAX_WAITING || self.entry.stopping.is_cancelled() {
+            return false;
+        }
         let tokens = self.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
         let needed = Duration::from(balance::expected_first_chunk(tokens)) * SERVICE_TIME_MARGIN;
         let patience = self.route.caller_patience.map(Duration::from);
         let patience_left = patience.map(|p| p.saturating_sub(self.started.elapsed()));
-        let has_time = self.time_left().into_iter().chain(patience_left).all(|left| left > needed);
-        has_time && !self.entry.stopping.is_cancelled()
+        self.time_left().into_iter().chain(patience_left).all(|left| left > needed)
     }
 
     fn unavailable(&self, unavailable: balance::Unavailable, last: &str) -> refusal::Refusal {
--- a/damaskdrift/src/entry/observe.rs
+++ b/damaskdrift/src/entry/observe.rs
@@ -18,6 +18,7 @@
         metrics::gauge!("instances").set(f64::from(entry.instance_count()));
         metrics::gauge!("upstreams").set(entry.upstreams.borrow().iter().count() as f64);
         metrics::gauge!("requests_running").set(f64::from(entry.requests.get()));
+        metrics::gauge!("requests_waiting").set(f64::from(entry.waiting.get()));
         tokio::time::sleep(UPDATE_INTERVAL).await;
     }
 }
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -135,6 +135,8 @@
     pub stopping: CancellationToken,
     /// Number of requests being served.
     pub requests: Cell<u32>,
+    /// Number of requests that wait for an upstream with room.
+    pub waiting: Cell<u32>,
     /// Random number generator for jitter and the choice of upstreams.
     pub rng: RefCell<ChaCha8Rng>,
     /// Notified when a report to other instances is due before the regular interval ends: after a
@@ -176,6 +178,7 @@
             leader: RefCell::default(),
             stopping: CancellationToken::new(),
             requests: Cell::new(0),
+            waiting: Cell::new(0),
             report_due: Notify::new(),
             relay_tx: broadcast::Sender::new(RELAY_QUEUE_FRAMES),
             observed_weights: RefCell::default(),
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -179,7 +179,10 @@
             let (cost, prefill) = cost(upstream, version, req, cx, hit_probability, now);
             let failure_rate = upstream.health.failure_rate();
             let excess = (failure_rate - mean_failure_rate - FAILURE_RATE_TOLERANCE).max(0.0);
-            let noise = rng.random_range(0.0..JITTER_MS) + spread * gumbel(rng);
+            let mut noise = rng.random_range(0.0..JITTER_MS);
+            if spread > 0.0 {
+                noise += spread * gumbel(rng);
+            }
             let cost = cost + FAILURE_COST_MS * excess + noise;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, upstream, prefill));
--- a/damaskdrift_core/src/membership/roles.rs
+++ b/damaskdrift_core/src/membership/roles.rs
@@ -73,7 +73,8 @@
         let score = |relay: &id::Instance| xxh3::xxh3_64_with_seed(relay.as_str().as_bytes(), seed);
         let own_score = score(own);
         let same_domain = self.links.iter().filter(|(_, scope)| **scope == Scope::Own);
-        same_domain.into_iter().all(|(relay, _)| score(relay) <= own_score)
+        let mut others = same_domain.map(|(relay, _)| score(relay));
+        others.all(|other_score| other_score <= own_score)
     }
 }
 
