--- a/damaskdrift/src/entry/peers/link.rs
+++ b/damaskdrift/src/entry/peers/link.rs
@@ -151,8 +151,8 @@
     }
 }
 
-/// Updates of cache stores that are sent to a leaf together with the next report, since a frame of
-/// its own for each costs leaf and relay more than all the rest.
+/// Updates of cache stores that are sent to a leaf together with the next report, so that the events
+/// of many stores do not wake every leaf one by one.
 #[derive(Debug, Default)]
 struct StoreUpdates {
     /// When each update was received, and the update.
