Keep the limit of each target version of weights when a newer one is set

Callers saw answers made on weights that had been replaced more than 8 s before (rule VERSION). Cause: an instance kept one target version per model and the time at which it learned of it. The next version took its place and with it the time from which older weights are excluded, so requests were sent again to engines that were two versions behind. Change: `weights::Targets` keeps every version until it decides nothing any more; an upstream is usable until the first limit of a version newer than its own ends. A request for which only upstreams with outdated weights are left waits for one to load the target version, like one that waits for room, instead of being refused. The test of preferred weights hands the choice the versions and the limit instead of a flag, so it also covers the comparison with the limit.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -12,6 +12,7 @@
 use damaskdrift_core::prefix_cache;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
+use damaskdrift_core::weights;
 use hyper::Response;
 use hyper::http::request;
 use rand::RngExt as _;
@@ -26,9 +27,6 @@
 
 /// Minimum time before the deadline for another attempt.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
-/// How long before the settings' version limit requests are no longer sent to upstreams with
-/// weights older than the target version.
-const OLD_WEIGHTS_MARGIN: Millis = Millis(700);
 
 /// Range of the pause before a request that waits for room looks for it again, in milliseconds.
 /// Reports of other instances' load arrive about as often.
@@ -257,24 +255,24 @@
     fn choose_upstream(&self) -> Result<(id::Upstream, u64), balance::Unavailable> {
         let now = clock::now();
         let prompt = self.head.prompt.as_ref();
-        let target = prompt
-            .and_then(|prompt| self.entry.target_versions.borrow().get(&prompt.model).copied());
+        let no_targets = weights::Targets::default();
+        let targets = self.entry.target_versions.borrow();
+        let targets = prompt.and_then(|prompt| targets.get(&prompt.model)).unwrap_or(&no_targets);
         let mut segments = Vec::new();
         let mut fetch_time = None;
         if let Some(prompt) = prompt {
             let shared = prompt.segments.split_last().map_or(&[][..], |(_, shared)| shared);
             segments.extend(shared.iter().map(|segment| (segment.id, segment.tokens)));
-            if let Some((version, _)) = target {
+            if let Some(version) = targets.newest() {
                 let salt = prefix_cache::salt(&prompt.model, version, self.isolated_workspace());
                 fetch_time =
                     self.entry.cache_stores.borrow().fetch_time(&salt, &prompt.segments, now);
             }
         }
-        let limit = self.entry.settings.version_limit - OLD_WEIGHTS_MARGIN;
         let requirements = balance::Requirements {
             service: self.service,
-            model: prompt.map(|prompt| (&prompt.model, target)),
-            requires_target_version: target.is_some_and(|(_, since)| now.since(since) >= limit),
+            model: prompt.map(|prompt| (&prompt.model, targets)),
+            old_weights_limit: self.entry.old_weights_limit(),
             isolated_workspace: self.isolated_workspace(),
             tokens: prompt.map_or(0, |prompt| prompt.tokens),
             segments: &segments,
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -299,9 +299,7 @@
         let Some(prompt) = &self.head.prompt else {
             return false;
         };
-        let target =
-            self.entry.target_versions.borrow().get(&prompt.model).map(|(version, _)| *version);
-        target > upstream.version(&prompt.model)
+        self.entry.target_version(&prompt.model) > upstream.version(&prompt.model)
     }
 
     /// Updates the state of an upstream whose address reached another upstream or one with other
@@ -327,8 +325,7 @@
             // If the upstream doesn't report its version, it most likely has the one after the
             // version assumed so far.
             let assumed = upstream.version(&prompt.model).unwrap_or(0);
-            let target =
-                self.entry.target_versions.borrow().get(&prompt.model).map_or(0, |target| target.0);
+            let target = self.entry.target_version(&prompt.model).unwrap_or(0);
             let likely = version.unwrap_or_else(|| (assumed + 1).min(target.max(assumed)));
             upstream.set_version(&prompt.model, likely, now);
             if version.is_some() {
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -347,13 +347,14 @@
 
 fn set_target_version(entry: &state::Entry, weights: balance::Weights) {
     let mut targets = entry.target_versions.borrow_mut();
-    let target = targets.entry(weights.model.clone()).or_insert((0, Millis(0)));
-    if weights.version > target.0 {
+    let targets = targets.entry(weights.model.clone()).or_default();
+    let now = clock::now();
+    if targets.record(weights.version, Millis(0), now) {
         log::info!(
             model:% = weights.model, version = weights.version;
             "target version of weights changed"
         );
-        *target = (weights.version, clock::now());
+        targets.prune(now, entry.old_weights_limit());
     }
 }
 
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -11,6 +11,7 @@
 use damaskdrift_core::prefix_cache;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
+use damaskdrift_core::weights;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{Notify, broadcast, mpsc};
@@ -30,6 +31,9 @@
 /// serve for some time without the platform store.
 const DEREGISTERED_RETENTION: Millis = Millis(10_000);
 
+/// How long before the settings' version limit requests are no longer sent to upstreams with
+/// weights older than a target version.
+const OLD_WEIGHTS_MARGIN: Millis = Millis(700);
 /// Largest number of registrations in one batch that are logged one by one. A list of the platform
 /// store holds those of the whole fleet.
 const MAX_LOGGED_REGISTRATIONS: usize = 8;
@@ -121,8 +125,8 @@
     pub upstreams: RefCell<balance::Upstreams>,
     /// Failure domains that operators have taken out of service.
     pub out_of_service: RefCell<BTreeSet<id::FailureDomain>>,
-    /// Target version of each model's weights, and when this instance learned of it.
-    pub target_versions: RefCell<HashMap<id::Model, (u64, Millis)>>,
+    /// Target versions of each model's weights.
+    pub target_versions: RefCell<HashMap<id::Model, weights::Targets>>,
     /// Cache stores and their known contents.
     pub cache_stores: RefCell<prefix_cache::CacheStores>,
     /// Offset of the upstreams' clock from [`clock::now`], if known.
@@ -204,6 +208,18 @@
         config_sync::staleness(confirmed_at, self.settings.revocation, clock::now())
     }
 
+    /// Returns the time after a target version was set from which requests are no longer sent to
+    /// upstreams with older weights.
+    pub fn old_weights_limit(&self) -> Millis {
+        self.settings.version_limit - OLD_WEIGHTS_MARGIN
+    }
+
+    /// Returns the newest target version of a model's weights.
+    pub fn target_version(&self, model: &id::Model) -> Option<u64> {
+        let targets = self.target_versions.borrow();
+        targets.get(model)?.newest()
+    }
+
     /// Returns whether the instance is ready for new connections.
     pub fn is_ready(&self) -> bool {
         !self.stopping.is_cancelled()
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -83,7 +83,10 @@
     async fn tick(&mut self, entry: &Rc<state::Entry>, lease: &leadership::HeldLease) -> bool {
         let targets: Vec<_> = {
             let targets = entry.target_versions.borrow();
-            targets.iter().map(|(model, (version, _))| (model.clone(), *version)).collect()
+            let newest = |(model, targets): (&id::Model, &weights::Targets)| {
+                Some((model.clone(), targets.newest()?))
+            };
+            targets.iter().filter_map(newest).collect()
         };
         for (model, target) in targets {
             self.read_reports(entry, &model).await;
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -11,6 +11,7 @@
 use crate::prefix_cache;
 use crate::routing;
 use crate::time::Millis;
+use crate::weights;
 
 /// Multiple of the time expected from the load after which a response is overdue. It covers the
 /// share of an engine's steps that running requests take.
@@ -46,7 +47,7 @@
 /// Probability that the first and second preferred engine hold the shared segments of a prompt that
 /// this instance has not sent there.
 const PREFERRED_HIT_PROBABILITY: [f64; 2] = [0.9, 0.3];
-/// Time after a target version is learned from which responses from older weights lose value.
+/// Time after a target version was set from which responses from older weights lose value.
 const VERSION_GRACE: Millis = Millis(1_200);
 /// Cost of weights older than the target version after [`VERSION_GRACE`].
 const OUTDATED_WEIGHTS_COST_MS: f64 = 300.0;
@@ -59,12 +60,10 @@
 pub struct Requirements<'a> {
     /// The service whose upstreams may serve the request.
     pub service: &'a routing::Service,
-    /// The model, and the target version of its weights with the time at which this instance
-    /// learned it. Requests without a prompt have no model; a model has no target version until one
-    /// is set.
-    pub model: Option<(&'a id::Model, Option<(u64, Millis)>)>,
-    /// Whether upstreams with weights older than the target version are excluded.
-    pub requires_target_version: bool,
+    /// The model and the target versions of its weights. Requests without a prompt have no model.
+    pub model: Option<(&'a id::Model, &'a weights::Targets)>,
+    /// Time after a target version was set from which requests must not begin on older weights.
+    pub old_weights_limit: Millis,
     /// The workspace, if it shares cached segments with no other.
     pub isolated_workspace: Option<&'a id::Workspace>,
     /// Tokens of the whole prompt plus the maximum number of output tokens.
@@ -82,7 +81,7 @@
 pub enum Unavailable {
     /// The service has no upstream that accepts requests.
     NoUpstream,
-    /// All usable upstreams are at a limit.
+    /// All usable upstreams are at a limit or have outdated weights.
     AtLimit,
 }
 
@@ -167,13 +166,14 @@
             {
                 continue;
             }
-            let Some(version) = servable_version(upstream, req) else {
-                continue;
+            let version = match servable_version(upstream, req, now) {
+                Ok(Some(version)) if has_room(upstream, req, cx, now) => version,
+                Ok(Some(_)) | Err(OutdatedWeights) => {
+                    is_limited = true;
+                    continue;
+                }
+                Ok(None) => continue,
             };
-            if !has_room(upstream, req, cx, now) {
-                is_limited = true;
-                continue;
-            }
             let rank = preferred.iter().position(|id| *id == Some(&upstream.record.id));
             let hit_probability = rank.map_or(0.0, |rank| PREFERRED_HIT_PROBABILITY[rank]);
             let (cost, prefill) = cost(upstream, version, req, cx, hit_probability, now);
@@ -252,17 +252,27 @@
     best.map(|scored| scored.map(|(_, id)| id))
 }
 
-/// Returns the version of the weights on which a request would run, or `None` if the upstream
-/// cannot serve it. The version is 0 for requests without a model.
-fn servable_version(upstream: &upstream::Upstream, req: &Requirements<'_>) -> Option<u64> {
-    let Some((model, target)) = req.model else {
-        return Some(0);
+/// Requests may no longer begin on an upstream's weights; it takes some again once it has loaded the
+/// target version.
+struct OutdatedWeights;
+
+/// Returns the version of the weights on which a request would run, or `None` if the upstream does
+/// not serve the model. The version is 0 for requests without a model.
+fn servable_version(
+    upstream: &upstream::Upstream,
+    req: &Requirements<'_>,
+    now: Millis,
+) -> Result<Option<u64>, OutdatedWeights> {
+    let Some((model, targets)) = req.model else {
+        return Ok(Some(0));
     };
-    let version = upstream.version(model)?;
-    if req.requires_target_version && target.is_some_and(|(target, _)| version < target) {
-        return None;
-    }
-    Some(version)
+    let Some(version) = upstream.version(model) else {
+        return Ok(None);
+    };
+    let Some(usable_until) = targets.usable_until(version, req.old_weights_limit) else {
+        return Ok(Some(version));
+    };
+    if now < usable_until { Ok(Some(version)) } else { Err(OutdatedWeights) }
 }
 
 fn has_room(
@@ -315,12 +325,11 @@
     if now < upstream.avoid_until {
         cost += upstream.avoid_until.since(now).0 as f64 + AVOID_COST_MS;
     }
-    let Some((model, target)) = req.model else {
+    let Some((model, targets)) = req.model else {
         return (cost, 0);
     };
-    if let Some((target, learned)) = target
-        && version < target
-        && now.since(learned) >= VERSION_GRACE
+    if targets.newest().is_some_and(|target| version < target)
+        && targets.newest_age(now) >= Some(VERSION_GRACE)
     {
         cost += OUTDATED_WEIGHTS_COST_MS;
     }
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -9,11 +9,14 @@
 use damaskdrift_core::prefix_cache;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
+use damaskdrift_core::weights;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 const NOW: Millis = Millis(100_000);
+/// Time after a target version was set from which requests must not begin on older weights.
+const OLD_WEIGHTS_LIMIT: Millis = Millis(7_300);
 
 fn service(has_engine: bool) -> routing::Service {
     routing::Service {
@@ -51,8 +54,7 @@
 struct Scenario<'a> {
     service: routing::Service,
     model: id::Model,
-    target: Option<(u64, Millis)>,
-    requires_target_version: bool,
+    targets: weights::Targets,
     segments: &'a [(u64, u64)],
     tokens: u64,
     fetch_time: Option<Millis>,
@@ -68,8 +70,7 @@
         Self {
             service: service(true),
             model: id::Model::new("m"),
-            target: None,
-            requires_target_version: false,
+            targets: weights::Targets::default(),
             segments: &[],
             tokens: 100,
             fetch_time: None,
@@ -92,8 +93,8 @@
         let domain = id::FailureDomain::new("a");
         let req = balance::Requirements {
             service: &self.service,
-            model: Some((&self.model, self.target)),
-            requires_target_version: self.requires_target_version,
+            model: Some((&self.model, &self.targets)),
+            old_weights_limit: OLD_WEIGHTS_LIMIT,
             isolated_workspace: None,
             tokens: self.tokens,
             segments: self.segments,
@@ -291,19 +292,19 @@
 /// Guards against starting requests on old weights once these are excluded, and against refusing
 /// all requests while the first upstreams load the target version.
 #[rstest]
-#[case(Millis(100), false, true)]
-#[case(Millis(2_000), false, false)]
-#[case(Millis(7_500), true, false)]
+#[case(Millis(100), true)]
+#[case(Millis(2_000), false)]
+#[case(Millis(7_500), false)]
 fn newer_weights_are_preferred_after_the_grace_period(
     #[case] since_target: Millis,
-    #[case] requires_target_version: bool,
     #[case] may_use_old: bool,
 ) {
     let mut upstreams = fleet(2);
     upstreams.get_mut(&id::Upstream::new("u0")).unwrap().set_version(&id::Model::new("m"), 2, NOW);
     let mut rng = rng();
-    let target = Some((2, NOW - since_target));
-    let scenario = Scenario { target, requires_target_version, ..Scenario::default() };
+    let mut targets = weights::Targets::default();
+    targets.record(2, since_target, NOW);
+    let scenario = Scenario { targets, ..Scenario::default() };
     let mut chosen = BTreeSet::new();
     for _ in 0..50 {
         chosen.insert(scenario.choose(&upstreams, NOW, &mut rng).unwrap().0);
@@ -311,6 +312,21 @@
     assert_eq!(chosen.contains(&id::Upstream::new("u1")), may_use_old, "{chosen:?}");
 }
 
+/// Guards against starting a request on weights whose limit has passed when no upstream has newer
+/// ones, and against refusing it although the upstream is about to load them.
+#[rstest]
+#[case(Millis(7_299), None)]
+#[case(Millis(7_300), Some(balance::Unavailable::AtLimit))]
+fn no_request_starts_on_weights_past_their_limit(
+    #[case] since_target: Millis,
+    #[case] expected: Option<balance::Unavailable>,
+) {
+    let mut scenario = Scenario::default();
+    scenario.targets.record(2, since_target, NOW);
+    scenario.targets.record(3, Millis(0), NOW);
+    assert_eq!(scenario.choose(&fleet(1), NOW, &mut rng()).err(), expected);
+}
+
 /// Guards against a version misread from a refusal that permanently overrides the one from
 /// discovery, so that the upstream refuses each request.
 #[rstest]
--- a/damaskdrift_core/tests/contact.rs
+++ b/damaskdrift_core/tests/contact.rs
@@ -8,6 +8,7 @@
 use damaskdrift_core::id;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
+use damaskdrift_core::weights;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -56,11 +57,11 @@
     };
     let (domain, own_id) = (id::FailureDomain::new("a"), id::Instance::new("i0"));
     let out_of_service = BTreeSet::new();
-    let model = id::Model::new("m");
+    let (model, targets) = (id::Model::new("m"), weights::Targets::default());
     let req = balance::Requirements {
         service: &service,
-        model: Some((&model, None)),
-        requires_target_version: false,
+        model: Some((&model, &targets)),
+        old_weights_limit: Millis(7_300),
         isolated_workspace: None,
         tokens: 380,
         segments: &[(session, 300)],
--- a/damaskdrift_core/tests/delayed_load.rs
+++ b/damaskdrift_core/tests/delayed_load.rs
@@ -104,7 +104,7 @@
         let req = balance::Requirements {
             service: &self.service,
             model: None,
-            requires_target_version: false,
+            old_weights_limit: Millis(0),
             isolated_workspace: None,
             tokens: 0,
             segments: &[],
