Do not queue a request at an upstream whose weights expire before it begins

Callers saw answers made on weights that had been replaced more than 8 s before (rule VERSION). Cause: the limit of old weights was compared with the time at which a request is sent. At a busy engine it begins up to 2 s later. Change: the choice excludes an upstream with older weights if the prompts that are queued there, and the request's own, take longer than the time until its limit, with the factor by which a response may be late under load.

--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -258,6 +258,9 @@
 
 /// Returns the version of the weights on which a request would run, or `None` if the upstream does
 /// not serve the model. The version is 0 for requests without a model.
+///
+/// A request waits in the upstream's queue before it begins, so the weights must be usable until
+/// then.
 fn servable_version(
     upstream: &upstream::Upstream,
     req: &Requirements<'_>,
@@ -272,7 +275,9 @@
     let Some(usable_until) = targets.usable_until(version, req.old_weights_limit) else {
         return Ok(Some(version));
     };
-    if now < usable_until { Ok(Some(version)) } else { Err(OutdatedWeights) }
+    let queue = expected_first_chunk(upstream.load().pending_prefill + req.tokens);
+    let begins_by = now + Millis(OVERDUE_FACTOR * queue.0);
+    if begins_by < usable_until { Ok(Some(version)) } else { Err(OutdatedWeights) }
 }
 
 fn has_room(
