Order loads past upstreams that are down, and without waiting for each other

Cause: an engine that is down runs nothing, so it looked least busy and was chosen first; its refused order left the batch and was due again 50 ms later, ahead of engines that were up. The leader awaited all calls of a tick, up to 500 ms each for a dark engine, and could not renew its lease meanwhile. An order without response held its place in the batch for 2.5 s. Change: the scheduler remembers consecutive failures of an upstream, pauses before the next order to it, and prefers upstreams that respond; a restart ends what was pending or failed. An upstream that is busy with another order is asked again after 200 ms. The batch grows so that all responsive upstreams have each version before its limit. Calls run as tasks whose results are collected at the next tick, and an order is sent only if the lease is still valid after the report was read. An order without response counts as failed: the next one goes out only after a report that shows none in progress, and its sequence number excludes a late execution of the first. The tests of the scheduler move from entry.rs to weights.rs; their assertions are the same.

--- a/damaskdrift/src/entry/leadership.rs
+++ b/damaskdrift/src/entry/leadership.rs
@@ -26,7 +26,7 @@
 const CLAIM_BACKOFF_MS: std::ops::Range<u64> = 200..1_200;
 
 /// An entry in the platform store that this instance holds under a lease.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct HeldLease {
     /// Id of the lease in the store.
     pub lease: u64,
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -1,7 +1,6 @@
 //! Leader task that rolls out new weights to upstreams and frees cached segments of old weights.
 
 use std::collections::HashMap;
-use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +10,7 @@
 use damaskdrift_core::prefix_cache;
 use damaskdrift_core::time::Millis;
 use damaskdrift_core::weights;
-use tokio::task;
+use tokio::task::JoinSet;
 
 use crate::entry::clock;
 use crate::entry::leadership;
@@ -23,6 +22,8 @@
 /// Minimum interval between report reads of an upstream with an order in progress; reports lag by
 /// a few hundred milliseconds and each read is a call to the upstream.
 const REPORT_INTERVAL: Millis = Millis(150);
+/// Time for which the time of a request for a report is remembered.
+const REPORT_TIME_RETENTION: Millis = Millis(10_000);
 /// How long requests avoid an upstream that was ordered to load weights, unless it reports the new
 /// version earlier: its running requests finish first, and the load takes about half a second.
 const LOAD_AVOIDANCE: Millis = Millis(1_000);
@@ -34,10 +35,37 @@
 /// Maximum number of segments freed by one call.
 const FREE_BATCH: usize = 100;
 
+/// Result of a call to an upstream in the course of a load.
+#[derive(Clone, Copy, Debug)]
+enum CallResult {
+    /// The upstream executes the order, or needs none.
+    Ordered,
+    /// The upstream executes another order.
+    Busy,
+    /// The order was refused or not sent, or the call got no response.
+    Failed,
+    /// The upstream has accepted an order of a newer leader.
+    Fenced,
+    /// The report of an upstream with an order in progress was read.
+    ReportRead,
+}
+
+/// A call to an upstream that has ended.
+struct EndedCall {
+    model: id::Model,
+    upstream: id::Upstream,
+    result: CallResult,
+}
+
 /// State of the leader's work.
 #[derive(Default)]
 struct Rollout {
     schedulers: HashMap<id::Model, weights::LoadScheduler>,
+    /// Calls in progress. They are not awaited in turn, because an upstream that does not respond
+    /// would delay the orders to all others and the renewal of the lease.
+    calls: JoinSet<EndedCall>,
+    /// Calls that free segments, in progress.
+    frees: JoinSet<()>,
     /// When the report of each upstream was last requested.
     report_requested_at: HashMap<id::Upstream, Millis>,
     /// Salts that no upstream uses, and since when.
@@ -61,11 +89,12 @@
             };
             next_claim = clock::now() + wait;
         }
-        if let Some(held) = &lease {
+        if let Some(held) = lease {
             let now = clock::now();
             let may_order = now.since(held.claimed_at) >= entry.settings.turn;
-            if may_order && held.is_valid(now) && !rollout.tick(&entry, held).await {
+            if may_order && held.is_valid(now) && !rollout.tick(&entry, held) {
                 log::warn!(fence:% = held.fence; "fenced by a newer leader; releasing leadership");
+                rollout.calls.abort_all();
                 leadership::release(&entry, lease.take()).await;
                 next_claim = clock::now() + entry.settings.turn;
             }
@@ -80,71 +109,88 @@
 
 impl Rollout {
     /// Sends due orders and frees unused segments. Returns false if fenced by a newer leader.
-    async fn tick(&mut self, entry: &Rc<state::Entry>, lease: &leadership::HeldLease) -> bool {
-        let targets: Vec<_> = {
-            let targets = entry.target_versions.borrow();
-            let newest = |(model, targets): (&id::Model, &weights::Targets)| {
-                Some((model.clone(), targets.newest()?))
-            };
-            targets.iter().filter_map(newest).collect()
-        };
-        for (model, target) in targets {
-            self.read_reports(entry, &model).await;
-            let candidates = candidates(entry, &model);
+    fn tick(&mut self, entry: &Rc<state::Entry>, lease: leadership::HeldLease) -> bool {
+        if !self.record_ended_calls() {
+            return false;
+        }
+        let targets = entry.target_versions.borrow().clone();
+        for (model, targets) in &targets {
+            self.read_reports(entry, model);
+            let candidates = candidates(entry, model, clock::now());
             let scheduler = self.schedulers.entry(model.clone()).or_default();
-            let due = scheduler.schedule(&candidates, target, clock::now());
-            let mut orders = Vec::new();
-            for id in due {
-                let Some(address) = address(entry, &id) else {
-                    continue;
-                };
-                let weights = balance::Weights { model: model.clone(), version: target };
-                let order = (id.clone(), weights, lease.fence, address);
-                orders.push((id, task::spawn_local(order_load(entry.clone(), order))));
+            let limit = entry.old_weights_limit();
+            let Some(version) = targets.newest() else {
+                continue;
+            };
+            for id in scheduler.schedule(&candidates, targets, limit, clock::now()) {
+                let weights = balance::Weights { model: model.clone(), version };
+                self.calls.spawn_local(order_load(entry.clone(), id, weights, lease));
             }
-            for (id, order) in orders {
-                match order.await {
-                    Ok(port::OrderReply::Accepted) => {}
-                    Ok(port::OrderReply::Fenced) => return false,
-                    Ok(_) => scheduler.record_refusal(&id),
-                    Err(error) => {
-                        log::error!(cause:% = error; "task that orders to load weights failed");
-                    }
+        }
+        self.free_unused(entry);
+        true
+    }
+
+    /// Records the results of ended calls. Returns false if fenced by a newer leader.
+    fn record_ended_calls(&mut self) -> bool {
+        let mut is_leader = true;
+        while let Some(ended) = self.calls.try_join_next() {
+            let call = match ended {
+                Ok(call) => call,
+                // Calls are cancelled when the instance is fenced.
+                Err(error) if error.is_cancelled() => continue,
+                Err(error) => {
+                    log::error!(cause:% = error; "task that calls an upstream failed");
+                    continue;
                 }
+            };
+            let Some(scheduler) = self.schedulers.get_mut(&call.model) else {
+                continue;
+            };
+            match call.result {
+                CallResult::Ordered => scheduler.record_success(&call.upstream),
+                CallResult::Busy => scheduler.record_busy(&call.upstream, clock::now()),
+                CallResult::Failed => scheduler.record_failure(&call.upstream, clock::now()),
+                CallResult::Fenced => is_leader = false,
+                CallResult::ReportRead => {}
             }
         }
-        self.free_unused(entry).await;
-        true
+        is_leader
     }
 
     /// Reads the reports of upstreams with an order in progress.
-    async fn read_reports(&mut self, entry: &Rc<state::Entry>, model: &id::Model) {
+    fn read_reports(&mut self, entry: &Rc<state::Entry>, model: &id::Model) {
         let now = clock::now();
         let Some(scheduler) = self.schedulers.get(model) else {
             return;
         };
-        let mut reads = Vec::new();
         for id in scheduler.pending() {
-            let requested_at = self.report_requested_at.entry(id.clone()).or_default();
+            let requested_at = self.report_requested_at.entry(id.clone()).or_insert(now);
             if now.since(*requested_at) < REPORT_INTERVAL {
                 continue;
             }
             *requested_at = now;
-            if let Some(address) = address(entry, id) {
-                reads.push(task::spawn_local(read_report(entry.clone(), id.clone(), address)));
-            }
-        }
-        for read in reads {
-            if let Err(error) = read.await {
-                log::error!(cause:% = error; "task that reads an upstream's report failed");
-            }
+            let (entry, model, upstream) = (entry.clone(), model.clone(), id.clone());
+            self.calls.spawn_local(async move {
+                let result = match read_report(&entry, &upstream).await {
+                    Some(_) => CallResult::ReportRead,
+                    None => CallResult::Failed,
+                };
+                EndedCall { model, upstream, result }
+            });
         }
+        self.report_requested_at.retain(|_, at| now.since(*at) < REPORT_TIME_RETENTION);
     }
 
     /// Frees cached segments of versions older than any that an upstream runs.
-    async fn free_unused(&mut self, entry: &Rc<state::Entry>) {
+    fn free_unused(&mut self, entry: &Rc<state::Entry>) {
         let now = clock::now();
-        if now.since(self.last_free) < FREE_INTERVAL {
+        while let Some(ended) = self.frees.try_join_next() {
+            if let Err(error) = ended {
+                log::error!(cause:% = error; "task that frees cached segments failed");
+            }
+        }
+        if now.since(self.last_free) < FREE_INTERVAL || !self.frees.is_empty() {
             return;
         }
         self.last_free = now;
@@ -156,15 +202,22 @@
             let Some((epoch, segments)) = self.unused_segments(entry, &store.id, now) else {
                 continue;
             };
-            let freed = segments.len();
-            match entry.port.free_segments(store.address, epoch, &segments).await {
-                Ok(()) => {
-                    log::info!(store:% = store.id, freed; "cached segments of old weights freed");
-                }
-                Err(error) => {
-                    log::warn!(store:% = store.id, cause:% = error; "cached segments not freed");
+            let entry = entry.clone();
+            self.frees.spawn_local(async move {
+                let freed = segments.len();
+                match entry.port.free_segments(store.address, epoch, &segments).await {
+                    Ok(()) => {
+                        log::info!(
+                            store:% = store.id, freed; "cached segments of old weights freed"
+                        );
+                    }
+                    Err(error) => {
+                        log::warn!(
+                            store:% = store.id, cause:% = error; "cached segments not freed"
+                        );
+                    }
                 }
-            }
+            });
         }
     }
 
@@ -204,7 +257,7 @@
 }
 
 /// Returns the upstreams that may load a new version of a model.
-fn candidates(entry: &state::Entry, model: &id::Model) -> Vec<weights::Candidate> {
+fn candidates(entry: &state::Entry, model: &id::Model, now: Millis) -> Vec<weights::Candidate> {
     let upstreams = entry.upstreams.borrow();
     let mut candidates = Vec::new();
     for upstream in upstreams.iter() {
@@ -214,31 +267,30 @@
         let Some(version) = upstream.version(model) else {
             continue;
         };
-        let running = upstream.load().in_flight;
-        candidates.push(weights::Candidate { id: upstream.record.id.clone(), version, running });
+        candidates.push(weights::Candidate {
+            id: upstream.record.id.clone(),
+            started_at: upstream.record.started_at,
+            version,
+            running: upstream.load().in_flight,
+            is_responsive: upstream.response(now) == balance::Response::Usual,
+        });
     }
     candidates
 }
 
-fn address(entry: &state::Entry, id: &id::Upstream) -> Option<net::SocketAddr> {
-    entry.upstreams.borrow().get(id).map(|upstream| upstream.record.address)
-}
-
-async fn read_report(
-    entry: Rc<state::Entry>,
-    id: id::Upstream,
-    address: net::SocketAddr,
-) -> Option<port::Report> {
+/// Reads the report of an upstream and applies the weights in it; `None` if it is not available.
+async fn read_report(entry: &Rc<state::Entry>, id: &id::Upstream) -> Option<port::Report> {
+    let address = entry.upstreams.borrow().get(id).map(|upstream| upstream.record.address)?;
     match entry.port.engine_report(address).await {
         Ok(report) => {
-            if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
+            if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(id) {
                 for weights in &report.weights {
                     upstream.set_version(&weights.model, weights.version, clock::now());
                 }
             }
             let mut observed = entry.observed_weights.borrow_mut();
             for weights in &report.weights {
-                observed.record_version(&id, weights.clone(), clock::now());
+                observed.record_version(id, weights.clone(), clock::now());
             }
             entry.report_due.notify_one();
             Some(report)
@@ -253,42 +305,62 @@
 /// Orders an upstream to load weights, unless its report says that it has them or is busy.
 async fn order_load(
     entry: Rc<state::Entry>,
-    (id, weights, fence, address): (
-        id::Upstream,
-        balance::Weights,
-        id::FencingToken,
-        net::SocketAddr,
-    ),
-) -> port::OrderReply {
-    let Some(report) = read_report(entry.clone(), id.clone(), address).await else {
-        return port::OrderReply::Conflict;
+    id: id::Upstream,
+    weights: balance::Weights,
+    lease: leadership::HeldLease,
+) -> EndedCall {
+    let result = send_order(&entry, &id, &weights, lease).await;
+    EndedCall { model: weights.model, upstream: id, result }
+}
+
+async fn send_order(
+    entry: &Rc<state::Entry>,
+    id: &id::Upstream,
+    weights: &balance::Weights,
+    lease: leadership::HeldLease,
+) -> CallResult {
+    let Some(report) = read_report(entry, id).await else {
+        return CallResult::Failed;
     };
     let loaded = report.weights.iter().find(|w| w.model == weights.model).map(|w| w.version);
     if loaded.is_some_and(|version| version >= weights.version) {
-        return port::OrderReply::Accepted;
+        return CallResult::Ordered;
     }
     if report.is_busy {
         // The order in progress may be this one, if its response was lost; later reports show it.
-        return port::OrderReply::Accepted;
+        return CallResult::Busy;
+    }
+    // The lease may have expired while the report was read.
+    if !lease.is_valid(clock::now()) {
+        return CallResult::Failed;
     }
-    if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
+    let Some(address) = entry.upstreams.borrow().get(id).map(|u| u.record.address) else {
+        return CallResult::Failed;
+    };
+    if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(id) {
         upstream.avoid_until = clock::now() + LOAD_AVOIDANCE;
     }
-    entry.observed_weights.borrow_mut().record_loading(&id, clock::now() + LOAD_AVOIDANCE);
+    entry.observed_weights.borrow_mut().record_loading(id, clock::now() + LOAD_AVOIDANCE);
     entry.report_due.notify_one();
     let order = port::Order {
         upstream: id.clone(),
-        weights,
+        weights: weights.clone(),
         leader: entry.settings.instance.clone(),
-        fence,
+        fence: lease.fence,
         sequence: report.order_sequence,
     };
     let reply = entry.port.send_order(address, &order).await;
     log::info!(
-        upstream:% = id, version = order.weights.version, fence:%, sequence = order.sequence,
-        reply:?;
+        upstream:% = id, version = order.weights.version, fence:% = order.fence,
+        sequence = order.sequence, reply:?;
         "ordered to load weights"
     );
-    // Without a response the order may still be executed, unless a newer one arrives first.
-    reply.unwrap_or(port::OrderReply::Accepted)
+    match reply {
+        Ok(port::OrderReply::Accepted) => CallResult::Ordered,
+        Ok(port::OrderReply::Fenced) => CallResult::Fenced,
+        Ok(port::OrderReply::Conflict | port::OrderReply::Refused(_)) => CallResult::Failed,
+        // Without a response the order may still be executed. The next one is sent only if the
+        // report shows no order in progress, and its sequence number excludes the late execution.
+        Err(_) => CallResult::Failed,
+    }
 }
--- a/damaskdrift_core/tests/entry.rs
+++ b/damaskdrift_core/tests/entry.rs
@@ -7,7 +7,6 @@
 use damaskdrift_core::retry;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
-use damaskdrift_core::weights;
 use rstest::rstest;
 
 fn route(prefix: &str, service: &str, allows_anonymous: bool) -> routing::Route {
@@ -179,49 +178,3 @@
         );
     }
 }
-
-fn candidates(versions: &[u64]) -> Vec<weights::Candidate> {
-    let candidate = |(index, version): (usize, &u64)| weights::Candidate {
-        id: id::Upstream::new(&format!("u{index:02}")),
-        version: *version,
-        running: u32::try_from(versions.len() - index).expect("few upstreams"),
-    };
-    versions.iter().enumerate().map(candidate).collect()
-}
-
-// Guards against loads on so many upstreams at once that the rest cannot sustain the traffic, and
-// against orders to upstreams that have a pending order.
-#[rstest]
-fn loads_run_in_batches_starting_with_the_least_busy() {
-    let mut scheduler = weights::LoadScheduler::default();
-    let mut versions = vec![1; 18];
-    let first = scheduler.schedule(&candidates(&versions), 2, Millis(1_000));
-    assert_eq!(first.len(), 5);
-    assert_eq!(first[0], id::Upstream::new("u17"));
-    assert!(scheduler.schedule(&candidates(&versions), 2, Millis(1_100)).is_empty());
-    versions[17] = 2;
-    assert_eq!(scheduler.schedule(&candidates(&versions), 2, Millis(1_200)).len(), 1);
-    // An order whose response was lost is sent again after its timeout.
-    let again = scheduler.schedule(&candidates(&versions), 2, Millis(4_000));
-    assert!(again.contains(&id::Upstream::new("u16")), "{again:?}");
-}
-
-// Guards against upstreams that keep an old version when the target version changes while loads of
-// the previous one are pending.
-#[rstest]
-fn a_changed_target_version_reaches_all_upstreams() {
-    let mut scheduler = weights::LoadScheduler::default();
-    let mut versions = vec![1; 6];
-    let mut target_version = 2;
-    for step in 0..100 {
-        if step == 2 {
-            target_version = 3;
-        }
-        let now = Millis(1_000 + step * 500);
-        for id in scheduler.schedule(&candidates(&versions), target_version, now) {
-            let index: usize = id.as_str()[1..].parse().unwrap();
-            versions[index] = target_version;
-        }
-    }
-    assert_eq!(versions, [3; 6]);
-}
--- a/damaskdrift_core/tests/weights.rs
+++ b/damaskdrift_core/tests/weights.rs
@@ -1,9 +1,34 @@
-//! Tests of the target versions of weights.
+//! Tests of the target versions of weights and of the schedule of loads.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic like tests")]
+
+use damaskdrift_core::id;
 use damaskdrift_core::time::Millis;
 use damaskdrift_core::weights;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
+/// Time after a target was set from which requests must not begin on older weights.
+const LIMIT: Millis = Millis(7_300);
+/// Interval at which the leader looks for due orders, in milliseconds.
+const TICK_MS: u64 = 50;
+
+fn upstream(index: usize) -> id::Upstream {
+    id::Upstream::new(&format!("u{index:02}"))
+}
+
+fn candidates(versions: &[u64]) -> Vec<weights::Candidate> {
+    let candidate = |(index, version): (usize, &u64)| weights::Candidate {
+        id: upstream(index),
+        started_at: Some(0),
+        version: *version,
+        running: u32::try_from(versions.len() - index).expect("few upstreams"),
+        is_responsive: true,
+    };
+    versions.iter().enumerate().map(candidate).collect()
+}
+
 fn targets(set: &[(u64, u64)]) -> weights::Targets {
     let mut targets = weights::Targets::default();
     for (version, at) in set {
@@ -12,6 +37,48 @@
     targets
 }
 
+// Guards against loads on so many upstreams at once that the rest cannot sustain the traffic, and
+// against orders to upstreams that have a pending order.
+#[rstest]
+fn loads_run_in_batches_starting_with_the_least_busy() {
+    let mut scheduler = weights::LoadScheduler::default();
+    let targets = targets(&[(2, 1_000)]);
+    let mut versions = vec![1; 18];
+    let mut schedule = |versions: &[u64], now| {
+        scheduler.schedule(&candidates(versions), &targets, LIMIT, Millis(now))
+    };
+    let first = schedule(&versions, 1_000);
+    assert_eq!(first.len(), 5);
+    assert_eq!(first[0], upstream(17));
+    assert!(schedule(&versions, 1_100).is_empty());
+    versions[17] = 2;
+    assert_eq!(schedule(&versions, 1_200).len(), 1);
+    // An order whose response was lost is sent again after its timeout.
+    let again = schedule(&versions, 4_000);
+    assert!(again.contains(&upstream(16)), "{again:?}");
+}
+
+// Guards against upstreams that keep an old version when the target version changes while loads of
+// the previous one are pending.
+#[rstest]
+fn a_changed_target_version_reaches_all_upstreams() {
+    let mut scheduler = weights::LoadScheduler::default();
+    let mut versions = vec![1; 6];
+    let mut targets = targets(&[(2, 1_000)]);
+    for step in 0..100 {
+        if step == 2 {
+            targets.record(3, Millis(0), Millis(2_000));
+        }
+        let target_version = targets.newest().unwrap();
+        let now = Millis(1_000 + step * 500);
+        for id in scheduler.schedule(&candidates(&versions), &targets, LIMIT, now) {
+            let index: usize = id.as_str()[1..].parse().unwrap();
+            versions[index] = target_version;
+        }
+    }
+    assert_eq!(versions, [3; 6]);
+}
+
 // Guards against a newer target that extends the time for which requests may begin on weights older
 // than the one before it.
 #[rstest]
@@ -27,3 +94,133 @@
     targets.prune(Millis(22_000), limit);
     assert_eq!(targets.usable_until(1, limit), Some(Millis(22_000)));
 }
+
+/// State of one engine in a simulation of loads.
+#[derive(Clone, Copy)]
+struct Engine {
+    version: u64,
+    started_at: u64,
+    /// When the load in progress ends.
+    loaded_at: Option<u64>,
+    down_until: u64,
+    /// Whether calls get no response while it is down, instead of a refused connection.
+    is_dark: bool,
+}
+
+/// How long a call waits for a response, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 500;
+/// Interval at which the reports of engines with a pending order are read, in milliseconds.
+const REPORT_MS: u64 = 150;
+/// Time from an order to its completion, in milliseconds.
+const LOAD_MS: u64 = 800;
+
+/// Simulates loads by a leader that learns of engines only by calls, while engines go down, and
+/// returns when each engine that is up has the target version of 2 that was set at time 0.
+fn simulate(count: usize, is_dark: bool, seed: u64) -> u64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let targets = targets(&[(2, 0)]);
+    let mut scheduler = weights::LoadScheduler::default();
+    let engine =
+        Engine { version: 1, started_at: 0, loaded_at: None, down_until: 0, is_dark: false };
+    let mut engines = vec![engine; count];
+    // Calls in progress: end, engine, whether it is an order.
+    let mut calls: Vec<(u64, usize, bool)> = Vec::new();
+    for now in (0..20_000).step_by(TICK_MS as usize) {
+        if now % 500 == 0 && now < 12_000 {
+            // One engine more goes down each half second, for 3.4 s; about half of 12 are up.
+            let index = rng.random_range(0..count);
+            let engine = &mut engines[index];
+            (engine.down_until, engine.is_dark) = (now + 3_400, is_dark);
+            if !is_dark {
+                (engine.loaded_at, engine.started_at) = (None, now + 3_400);
+            }
+        }
+        for engine in &mut engines {
+            if engine.loaded_at.is_some_and(|at| at <= now) && engine.down_until <= now {
+                (engine.version, engine.loaded_at) = (2, None);
+            }
+        }
+        let known: Vec<_> = engines.iter().map(|engine| engine.version).collect();
+        if engines.iter().all(|engine| engine.version == 2 || engine.down_until > now) {
+            return now;
+        }
+        calls.retain(|(ends_at, index, is_order)| {
+            if *ends_at > now {
+                return true;
+            }
+            let engine = &mut engines[*index];
+            if engine.down_until > now {
+                scheduler.record_failure(&upstream(*index), Millis(now));
+            } else if *is_order {
+                engine.loaded_at.get_or_insert(now + LOAD_MS);
+                scheduler.record_success(&upstream(*index));
+            }
+            false
+        });
+        let mut candidates = candidates(&known);
+        for (index, candidate) in candidates.iter_mut().enumerate() {
+            let engine = &engines[index];
+            // An engine that is down runs nothing, so it looks least busy.
+            candidate.running = if engine.down_until > now { 0 } else { 5 };
+            candidate.started_at = Some(engine.started_at);
+        }
+        let call_end = |engine: &Engine| {
+            let waits = engine.down_until > now && engine.is_dark;
+            now + if waits { CALL_TIMEOUT_MS } else { TICK_MS }
+        };
+        if now % REPORT_MS == 0 {
+            for id in scheduler.pending() {
+                let index: usize = id.as_str()[1..].parse().unwrap();
+                calls.push((call_end(&engines[index]), index, false));
+            }
+        }
+        for id in scheduler.schedule(&candidates, &targets, LIMIT, Millis(now)) {
+            let index: usize = id.as_str()[1..].parse().unwrap();
+            calls.push((call_end(&engines[index]), index, true));
+        }
+    }
+    20_000
+}
+
+// Guards against orders that are sent again and again to engines that are down, because these look
+// least busy, while engines that are up keep their old weights beyond the limit.
+#[rstest]
+#[case(12, false)]
+#[case(12, true)]
+#[case(128, false)]
+#[case(128, true)]
+fn engines_that_are_down_do_not_hold_up_loads_of_others(
+    #[case] count: usize,
+    #[case] is_dark: bool,
+) {
+    for seed in 0..50 {
+        let done_at = simulate(count, is_dark, seed);
+        assert!(done_at < LIMIT.0, "seed {seed}: engines had old weights until {done_at} ms");
+    }
+}
+
+// Guards against sparing the capacity of upstreams whose old weights no request may use any longer:
+// all that remain are ordered to load before the limit ends.
+#[rstest]
+fn the_batch_grows_as_the_limit_comes_near() {
+    let targets = targets(&[(2, 0)]);
+    let mut sizes = Vec::new();
+    for now in [0, 4_000, 6_000, 7_000] {
+        let mut scheduler = weights::LoadScheduler::default();
+        sizes.push(scheduler.schedule(&candidates(&[1; 12]), &targets, LIMIT, Millis(now)).len());
+    }
+    assert_eq!(sizes, [3, 4, 12, 12]);
+}
+
+// Guards against a load that counts as pending although the engine restarted and knows nothing of
+// its order.
+#[rstest]
+fn a_restart_ends_a_pending_order() {
+    let mut scheduler = weights::LoadScheduler::default();
+    let targets = targets(&[(2, 0)]);
+    let mut engines = candidates(&[1]);
+    assert_eq!(scheduler.schedule(&engines, &targets, LIMIT, Millis(0)), [upstream(0)]);
+    assert!(scheduler.schedule(&engines, &targets, LIMIT, Millis(100)).is_empty());
+    engines[0].started_at = Some(1);
+    assert_eq!(scheduler.schedule(&engines, &targets, LIMIT, Millis(200)), [upstream(0)]);
+}
