Tell instances that start how long ago target versions were set

Cause: an instance that starts, or reads the platform's list again, finds a target version without its age and counted the limit from then. Change: reports to other instances carry the ages of recent target versions, of which the highest counts. A version found in a list is assumed to have been set when the list was last known to be without it. An instance that has known none yet assumes that 2.5 s are left of the limit, in which the others' reports arrive.

--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -66,6 +66,14 @@
             loading.push((upstream.to_string(), observation.expires_at.since(now).0));
         }
     }
+    let mut targets = Vec::new();
+    for (model, versions) in &*entry.target_versions.borrow() {
+        for (version, age) in versions.known_ages(now) {
+            if age < entry.settings.version_limit {
+                targets.push((model.to_string(), version, age.0));
+            }
+        }
+    }
     let missing = match entry.layout().role {
         membership::Role::Leaf => entry.cache_stores.borrow().needing_snapshot(),
         membership::Role::Mesh | membership::Role::Relay => Vec::new(),
@@ -82,6 +90,7 @@
         contacts,
         weights,
         loading,
+        targets,
     })
 }
 
@@ -107,6 +116,7 @@
     }
     apply_weights(entry, &report.weights, &reporter, now);
     apply_loading(entry, &report.loading, &reporter, now);
+    apply_targets(entry, &report.targets, now);
     if !counts(&reporter, role) {
         return;
     }
@@ -164,6 +174,16 @@
     }
 }
 
+/// Records how long ago target versions were set, which an instance that has just started cannot
+/// know.
+fn apply_targets(entry: &state::Entry, targets: &[(String, u64, u64)], now: Millis) {
+    let mut known = entry.target_versions.borrow_mut();
+    for (model, version, age_ms) in targets {
+        let model = id::Model::new(model);
+        known.entry(model).or_default().record(*version, Millis(*age_ms), now);
+    }
+}
+
 fn apply_loading(
     entry: &state::Entry,
     loading: &[(String, u64)],
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -39,6 +39,11 @@
 /// Time that live upstreams have to register again after the store lost their entries in an outage.
 const REREGISTRATION_TIMEOUT: Millis = Millis(2_000);
 
+/// Time for which an instance that has just started may send requests to upstreams with weights
+/// older than the target version that it finds. Within it, instances that have been running report
+/// when the version was set.
+const UNKNOWN_TARGET_ALLOWANCE: Millis = Millis(2_500);
+
 /// Connectivity of the platform store and its effect on upstreams.
 struct Connectivity {
     is_up: bool,
@@ -67,7 +72,7 @@
             Ok(batch) => {
                 connectivity.set_up(true, "list");
                 pause = RETRY_PAUSE.0;
-                let listed = apply(&entry, &mut connectivity, &batch.items);
+                let listed = apply(&entry, &mut connectivity, &batch.items, Source::List);
                 remove_unlisted(&entry, &mut connectivity, &listed);
                 entry.follower.revision.set(batch.revision.max(entry.follower.revision.get()));
                 entry.record_confirmation(requested_at);
@@ -134,7 +139,7 @@
         match entry.port.watch(before, wait).await {
             Ok(batch) => {
                 let has_changes = !batch.items.is_empty();
-                apply(entry, connectivity, &batch.items);
+                apply(entry, connectivity, &batch.items, Source::Changes);
                 relay(entry, connectivity, before, &batch);
                 entry.follower.revision.set(before.max(batch.revision));
                 entry.record_confirmation(requested_at);
@@ -216,7 +221,7 @@
             items.push(port::Item { key: key.clone(), value: value.clone(), revision: *at });
         }
     }
-    apply(entry, connectivity, &items);
+    apply(entry, connectivity, &items, Source::Changes);
     entry.follower.revision.set(to);
     Ok(())
 }
@@ -240,6 +245,15 @@
     let _ = entry.relay_tx.send(frame);
 }
 
+/// Where items of the store come from.
+#[derive(Clone, Copy)]
+enum Source {
+    /// A list, which does not show when the items were written.
+    List,
+    /// Changes, which arrive shortly after they were made.
+    Changes,
+}
+
 /// Contents of a list of the store.
 #[derive(Default)]
 struct Listed {
@@ -250,7 +264,12 @@
 }
 
 /// Applies items of the store and returns what they list.
-fn apply(entry: &state::Entry, connectivity: &mut Connectivity, items: &[port::Item]) -> Listed {
+fn apply(
+    entry: &state::Entry,
+    connectivity: &mut Connectivity,
+    items: &[port::Item],
+    source: Source,
+) -> Listed {
     let mut listed = Listed::default();
     // Applied together, since each change of the fleet lays it out anew.
     let mut registrations = Vec::new();
@@ -266,7 +285,7 @@
                 install_upstream(entry, record);
             }
             port::Change::UpstreamRemoved(id) => connectivity.remove(entry, id),
-            port::Change::TargetWeights(weights) => set_target_version(entry, weights),
+            port::Change::TargetWeights(weights) => set_target_version(entry, weights, source),
             port::Change::DomainOutOfService(domain, is_out) => {
                 log::info!(domain:%, is_out; "failure domain changed by operators");
                 let mut out_of_service = entry.out_of_service.borrow_mut();
@@ -345,16 +364,28 @@
     upstreams.install(record, cold_start, clock::now());
 }
 
-fn set_target_version(entry: &state::Entry, weights: balance::Weights) {
+fn set_target_version(entry: &state::Entry, weights: balance::Weights, source: Source) {
     let mut targets = entry.target_versions.borrow_mut();
     let targets = targets.entry(weights.model.clone()).or_default();
     let now = clock::now();
-    if targets.record(weights.version, Millis(0), now) {
+    let limit = entry.old_weights_limit();
+    let is_newest = match (source, entry.config_confirmed_at.get()) {
+        (Source::Changes, _) => targets.record(weights.version, Millis(0), now),
+        // The version was set after this instance last knew the newest items.
+        (Source::List, Some(confirmed_at)) => {
+            targets.record_assumed(weights.version, now.since(confirmed_at), now)
+        }
+        (Source::List, None) => {
+            targets.record_assumed(weights.version, limit - UNKNOWN_TARGET_ALLOWANCE, now)
+        }
+    };
+    if is_newest {
+        let age_ms = targets.newest_age(now).map(|age| age.0);
         log::info!(
-            model:% = weights.model, version = weights.version;
+            model:% = weights.model, version = weights.version, age_ms;
             "target version of weights changed"
         );
-        targets.prune(now, entry.old_weights_limit());
+        targets.prune(now, limit);
     }
 }
 
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -146,6 +146,9 @@
     /// Upstreams that are loading weights, and milliseconds for which to keep avoiding them.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub loading: Vec<(String, u64)>,
+    /// Target versions that were set recently: model, version, and milliseconds since it was set.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub targets: Vec<(String, u64, u64)>,
 }
 
 /// Handshake message with which an instance identifies itself.
--- a/damaskdrift_core/tests/weights.rs
+++ b/damaskdrift_core/tests/weights.rs
@@ -95,6 +95,39 @@
     assert_eq!(targets.usable_until(1, limit), Some(Millis(22_000)));
 }
 
+// Guards against counting the limit from when a version was heard of instead of when it was set, and
+// against a version that is heard of late and takes the place of a newer one.
+#[rstest]
+fn the_highest_known_age_of_a_target_counts() {
+    let mut targets = weights::Targets::default();
+    let now = Millis(9_000);
+    assert!(targets.record(5, Millis(0), now));
+    assert!(!targets.record(5, Millis(5_000), now));
+    assert!(!targets.record(5, Millis(3_000), now));
+    assert!(!targets.record(3, Millis(7_000), now));
+    assert_eq!(targets.newest(), Some(5));
+    assert_eq!(targets.newest_age(now), Some(Millis(5_000)));
+    assert_eq!(targets.usable_until(2, LIMIT), Some(Millis(2_000) + LIMIT));
+    assert_eq!(targets.usable_until(3, LIMIT), Some(Millis(4_000) + LIMIT));
+}
+
+// Guards against an instance that starts, or reads the platform's list again, after a version was
+// set and counts the limit from then, and against an assumption that outweighs what others saw. The
+// clock may have started after the version was set.
+#[rstest]
+fn an_assumed_age_holds_until_the_age_is_known() {
+    let mut targets = weights::Targets::default();
+    let now = Millis(1_000);
+    targets.record_assumed(2, Millis(5_000), now);
+    assert_eq!(targets.usable_until(1, LIMIT), Some(Millis(3_300)));
+    assert_eq!(targets.known_ages(now).count(), 0);
+    targets.record(2, Millis(6_000), now);
+    assert_eq!(targets.usable_until(1, LIMIT), Some(Millis(2_300)));
+    targets.record_assumed(2, Millis(7_000), now);
+    assert_eq!(targets.usable_until(1, LIMIT), Some(Millis(2_300)));
+    assert_eq!(targets.known_ages(Millis(2_000)).collect::<Vec<_>>(), [(2, Millis(7_000))]);
+}
+
 /// State of one engine in a simulation of loads.
 #[derive(Clone, Copy)]
 struct Engine {
