Check the limit of old weights again before a request is sent, and log its weights

Callers could get answers made on weights replaced too long ago if the connection to the engine took long to open: the limit was checked at the choice only. The version that is checked is also the one that the request expects there. The line `answer passed on` now carries the version on which the request may start and the newest target, which tells an outdated engine from an instance that does not know the target.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -69,6 +69,8 @@
     pub may_have_run: bool,
     /// How long the request has waited for an upstream with room.
     pub waited: Duration,
+    /// Version of the weights on which the latest attempt may start; 0 without a prompt.
+    pub expected_weights: u64,
     /// Whether a retry was already taken from the retry limit for the next attempt.
     pub has_retry: bool,
 }
--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -119,6 +119,7 @@
         attempts: 0,
         may_have_run: false,
         waited: Duration::ZERO,
+        expected_weights: 0,
         has_retry: false,
     };
     job.run().await
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -58,7 +58,7 @@
     /// Sends the request to an upstream; `pending_prefill` is the number of prompt tokens that the
     /// upstream has to prefill.
     pub async fn send(&mut self, id: &id::Upstream, pending_prefill: u64) -> job::Outcome {
-        let Some((address, model_version)) = self.target(id) else {
+        let Some((address, _)) = self.target(id) else {
             return job::Outcome::NotSent("the upstream is gone".to_owned());
         };
         let max_idle = match self.route.retry_policy {
@@ -75,15 +75,17 @@
                 }
             },
         };
-        // While the connection was opened, the configuration may have expired and the upstream may
-        // have started draining.
+        // While the connection was opened, the configuration and the upstream's weights may have
+        // expired and the upstream may have started draining.
         if self.head.api_key.is_some() && self.entry.staleness() == config_sync::Staleness::Expired
         {
             return job::Outcome::Refused(forward::configuration_stale(self.entry));
         }
-        if self.target(id).is_none() {
-            return job::Outcome::NotSent("the upstream has begun to leave".to_owned());
-        }
+        let Some((_, model_version)) = self.target(id) else {
+            let reason = "the upstream has begun to leave or has outdated weights";
+            return job::Outcome::NotSent(reason.to_owned());
+        };
+        self.expected_weights = model_version;
         let now = clock::now();
         let (req, plan_summary) = self.encode(id, model_version);
         if self.attempts == 0 {
@@ -226,8 +228,16 @@
         if record.is_draining || self.entry.out_of_service.borrow().contains(&record.domain) {
             return None;
         }
-        let prompt = self.head.prompt.as_ref();
-        let version = prompt.and_then(|prompt| upstream.version(&prompt.model)).unwrap_or(0);
+        let Some(prompt) = &self.head.prompt else {
+            return Some((record.address, 0));
+        };
+        let version = upstream.version(&prompt.model).unwrap_or(0);
+        let targets = self.entry.target_versions.borrow();
+        let limit = self.entry.old_weights_limit();
+        let usable_until = targets.get(&prompt.model).and_then(|t| t.usable_until(version, limit));
+        if usable_until.is_some_and(|until| clock::now() >= until) {
+            return None;
+        }
         Some((record.address, version))
     }
 
@@ -345,13 +355,15 @@
         let shared =
             self.head.prompt.as_ref().and_then(|prompt| prompt.segments.iter().nth_back(1));
         let root = shared.map_or(0, |segment| segment.id);
+        let target = self.head.prompt.as_ref().and_then(|p| self.entry.target_version(&p.model));
+        let target_weights = target.unwrap_or(0);
         metrics::counter!("answers", "status" => status.as_str().to_owned()).increment(1);
         metrics::histogram!("room_wait_seconds").record(self.waited.as_secs_f64());
         metrics::histogram!("answer_head_seconds").record(self.started.elapsed().as_secs_f64());
         log::info!(
             request = self.head.id.as_str(), route = &*self.route.name, upstream:% = id,
             status = status.as_u16(), sends = self.attempts, kept = plan_summary, root,
-            head_ms = head_ms as u64, waited_ms = self.waited.as_millis() as u64;
+            weights = self.expected_weights, target_weights, head_ms = head_ms as u64, waited_ms = self.waited.as_millis() as u64;
             "answer passed on"
         );
     }
