Send orders to silent upstreams, and tie results to the order and term they belong to

Callers would be refused for good if all engines of a model fell silent across the limit of their weights: none counted as responsive, so no order was sent, and without requests nothing showed that they were back. Other gaps of the schedule, each with its test: places in a batch that grew for the oldest weights went to newer ones, and upstreams whose orders fail made it grow; an order without response gave up its place at once, so with all responses lost all 12 engines were loading after 2 s; the late result of an earlier order ended the one in progress; results of a former term could end the next one. Change: at least one order is pending while any is due, and a report counts as a sign of life; places beyond the quarter go only to upstreams for which the batch grew, the oldest weights first; an order without response keeps its place for 500 ms and then asks for the report; results carry the time of their order, one report of an upstream is read at a time, and the leader's state ends with its lease.

--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -1,6 +1,6 @@
 //! Leader task that rolls out new weights to upstreams and frees cached segments of old weights.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,10 +39,14 @@
 #[derive(Clone, Copy, Debug)]
 enum CallResult {
     /// The upstream executes the order, or needs none.
-    Ordered,
+    Accepted,
     /// The upstream executes another order.
     Busy,
-    /// The order was refused or not sent, or the call got no response.
+    /// The upstream may execute the order, but did not respond to it.
+    Unanswered,
+    /// The order was not sent, for a reason that does not concern the upstream.
+    Unsent,
+    /// The order was refused, or the upstream's report is not available.
     Failed,
     /// The upstream has accepted an order of a newer leader.
     Fenced,
@@ -54,20 +58,26 @@
 struct EndedCall {
     model: id::Model,
     upstream: id::Upstream,
+    /// When the order that the call concerns was scheduled.
+    ordered_at: Millis,
     result: CallResult,
 }
 
-/// State of the leader's work.
+/// State of the leader's work during one term.
 #[derive(Default)]
 struct Rollout {
+    /// Whether anything was done in this term.
+    is_started: bool,
     schedulers: HashMap<id::Model, weights::LoadScheduler>,
     /// Calls in progress. They are not awaited in turn, because an upstream that does not respond
     /// would delay the orders to all others and the renewal of the lease.
     calls: JoinSet<EndedCall>,
     /// Calls that free segments, in progress.
     frees: JoinSet<()>,
-    /// When the report of each upstream was last requested.
+    /// When the report of each upstream with a pending order was last requested.
     report_requested_at: HashMap<id::Upstream, Millis>,
+    /// Upstreams whose report is being read.
+    reading: BTreeSet<id::Upstream>,
     /// Salts that no upstream uses, and since when.
     unused_salts: HashMap<Arc<str>, Millis>,
     last_free: Millis,
@@ -89,12 +99,16 @@
             };
             next_claim = clock::now() + wait;
         }
+        if lease.is_none() && rollout.is_started {
+            // Another leader may have acted since; this also cancels the calls in progress.
+            rollout = Rollout::default();
+        }
         if let Some(held) = lease {
             let now = clock::now();
             let may_order = now.since(held.claimed_at) >= entry.settings.turn;
             if may_order && held.is_valid(now) && !rollout.tick(&entry, held) {
                 log::warn!(fence:% = held.fence; "fenced by a newer leader; releasing leadership");
-                rollout.calls.abort_all();
+                rollout = Rollout::default();
                 leadership::release(&entry, lease.take()).await;
                 next_claim = clock::now() + entry.settings.turn;
             }
@@ -110,6 +124,7 @@
 impl Rollout {
     /// Sends due orders and frees unused segments. Returns false if fenced by a newer leader.
     fn tick(&mut self, entry: &Rc<state::Entry>, lease: leadership::HeldLease) -> bool {
+        self.is_started = true;
         if !self.record_ended_calls() {
             return false;
         }
@@ -122,9 +137,14 @@
             let Some(version) = targets.newest() else {
                 continue;
             };
-            for id in scheduler.schedule(&candidates, targets, limit, clock::now()) {
+            let now = clock::now();
+            for upstream in scheduler.schedule(&candidates, targets, limit, now) {
                 let weights = balance::Weights { model: model.clone(), version };
-                self.calls.spawn_local(order_load(entry.clone(), id, weights, lease));
+                let (entry, model) = (entry.clone(), model.clone());
+                self.calls.spawn_local(async move {
+                    let result = order_load(&entry, &upstream, &weights, lease).await;
+                    EndedCall { model, upstream, ordered_at: now, result }
+                });
             }
         }
         self.free_unused(entry);
@@ -147,10 +167,14 @@
             let Some(scheduler) = self.schedulers.get_mut(&call.model) else {
                 continue;
             };
+            let (id, ordered_at, now) = (&call.upstream, call.ordered_at, clock::now());
+            self.reading.remove(id);
             match call.result {
-                CallResult::Ordered => scheduler.record_success(&call.upstream),
-                CallResult::Busy => scheduler.record_busy(&call.upstream, clock::now()),
-                CallResult::Failed => scheduler.record_failure(&call.upstream, clock::now()),
+                CallResult::Accepted => scheduler.record_accepted(id, ordered_at),
+                CallResult::Busy => scheduler.record_busy(id, ordered_at, now),
+                CallResult::Unanswered => scheduler.record_unanswered(id, ordered_at, now),
+                CallResult::Unsent => scheduler.record_unsent(id, ordered_at),
+                CallResult::Failed => scheduler.record_failure(id, ordered_at, now),
                 CallResult::Fenced => is_leader = false,
                 CallResult::ReportRead => {}
             }
@@ -164,19 +188,21 @@
         let Some(scheduler) = self.schedulers.get(model) else {
             return;
         };
-        for id in scheduler.pending() {
-            let requested_at = self.report_requested_at.entry(id.clone()).or_insert(now);
-            if now.since(*requested_at) < REPORT_INTERVAL {
+        for (id, ordered_at) in scheduler.pending() {
+            let requested_at = self.report_requested_at.entry(id.clone()).or_default();
+            let is_recent = now.since(ordered_at.max(*requested_at)) < REPORT_INTERVAL;
+            if is_recent || self.reading.contains(id) {
                 continue;
             }
             *requested_at = now;
+            self.reading.insert(id.clone());
             let (entry, model, upstream) = (entry.clone(), model.clone(), id.clone());
             self.calls.spawn_local(async move {
                 let result = match read_report(&entry, &upstream).await {
                     Some(_) => CallResult::ReportRead,
                     None => CallResult::Failed,
                 };
-                EndedCall { model, upstream, result }
+                EndedCall { model, upstream, ordered_at, result }
             });
         }
         self.report_requested_at.retain(|_, at| now.since(*at) < REPORT_TIME_RETENTION);
@@ -284,6 +310,7 @@
     match entry.port.engine_report(address).await {
         Ok(report) => {
             if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(id) {
+                upstream.record_contact(clock::now());
                 for weights in &report.weights {
                     upstream.set_version(&weights.model, weights.version, clock::now());
                 }
@@ -304,16 +331,6 @@
 
 /// Orders an upstream to load weights, unless its report says that it has them or is busy.
 async fn order_load(
-    entry: Rc<state::Entry>,
-    id: id::Upstream,
-    weights: balance::Weights,
-    lease: leadership::HeldLease,
-) -> EndedCall {
-    let result = send_order(&entry, &id, &weights, lease).await;
-    EndedCall { model: weights.model, upstream: id, result }
-}
-
-async fn send_order(
     entry: &Rc<state::Entry>,
     id: &id::Upstream,
     weights: &balance::Weights,
@@ -324,7 +341,7 @@
     };
     let loaded = report.weights.iter().find(|w| w.model == weights.model).map(|w| w.version);
     if loaded.is_some_and(|version| version >= weights.version) {
-        return CallResult::Ordered;
+        return CallResult::Accepted;
     }
     if report.is_busy {
         // The order in progress may be this one, if its response was lost; later reports show it.
@@ -332,10 +349,10 @@
     }
     // The lease may have expired while the report was read.
     if !lease.is_valid(clock::now()) {
-        return CallResult::Failed;
+        return CallResult::Unsent;
     }
     let Some(address) = entry.upstreams.borrow().get(id).map(|u| u.record.address) else {
-        return CallResult::Failed;
+        return CallResult::Unsent;
     };
     if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(id) {
         upstream.avoid_until = clock::now() + LOAD_AVOIDANCE;
@@ -356,11 +373,12 @@
         "ordered to load weights"
     );
     match reply {
-        Ok(port::OrderReply::Accepted) => CallResult::Ordered,
+        Ok(port::OrderReply::Accepted) => CallResult::Accepted,
         Ok(port::OrderReply::Fenced) => CallResult::Fenced,
-        Ok(port::OrderReply::Conflict | port::OrderReply::Refused(_)) => CallResult::Failed,
-        // Without a response the order may still be executed. The next one is sent only if the
-        // report shows no order in progress, and its sequence number excludes the late execution.
-        Err(_) => CallResult::Failed,
+        Ok(port::OrderReply::Conflict) => CallResult::Busy,
+        Ok(port::OrderReply::Refused(_)) => CallResult::Failed,
+        // The order may still be executed. The next one is sent only if the report shows no order in
+        // progress, and its sequence number excludes the late execution.
+        Err(_) => CallResult::Unanswered,
     }
 }
--- a/damaskdrift_core/src/weights/scheduler.rs
+++ b/damaskdrift_core/src/weights/scheduler.rs
@@ -6,8 +6,8 @@
 use crate::time::Millis;
 use crate::weights::Targets;
 
-/// Divisor of the number of reachable upstreams that gives the number of load orders pending at
-/// once; the other three quarters of the upstreams sustain the traffic. An order stays pending until
+/// Divisor of the number of sound upstreams that gives the number of load orders pending at once; the
+/// other three quarters of the upstreams sustain the traffic. An order stays pending until
 /// a report shows its completion, which lags by about half the duration of a load, so about a sixth
 /// of the upstreams are loading at any moment.
 const BATCH_DIVISOR: usize = 4;
@@ -16,10 +16,14 @@
 /// before the target's limit.
 const LOAD_TIME: Millis = Millis(1_000);
 /// Time after which an order without reported completion no longer counts as pending and may be
-/// sent again. An upstream may still execute a delayed order up to 12 s after it was sent.
+/// sent again. An upstream may still execute a delayed order up to 12 s after it was sent; its
+/// sequence number makes it fail then if another one was accepted meanwhile.
 const ORDER_TIMEOUT: Millis = Millis(2_500);
 /// Time after which an upstream that was busy with another order is asked again.
 const BUSY_RECHECK: Millis = Millis(200);
+/// Time after which an order without a response is sent again unless a report shows it in progress;
+/// reports lag by a few hundred milliseconds.
+const UNANSWERED_RECHECK: Millis = Millis(500);
 /// Pause before an upstream whose order failed gets another one; it doubles with each consecutive
 /// failure up to [`MAX_RETRY_PAUSE`].
 const RETRY_PAUSE: Millis = Millis(100);
@@ -47,6 +51,7 @@
 struct PendingOrder {
     version: u64,
     started_at: Option<u64>,
+    sent_at: Millis,
     expires_at: Millis,
 }
 
@@ -59,7 +64,18 @@
     retry_at: Millis,
 }
 
+/// Number of orders that must be pending for all upstreams to have a target version in time.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    version: u64,
+    needed: usize,
+    pending: usize,
+}
+
 /// Selects the upstreams that load new weights, and tracks pending orders.
+///
+/// Results are recorded with the time at which the order was scheduled; those of an earlier order to
+/// the same upstream are ignored.
 #[derive(Debug, Default)]
 pub struct LoadScheduler {
     pending: BTreeMap<id::Upstream, PendingOrder>,
@@ -69,10 +85,10 @@
 impl LoadScheduler {
     /// Returns the upstreams to send a load order to now, and records these orders as pending.
     ///
-    /// Upstreams with the fewest running requests come first, because a load begins only after
-    /// running requests have ended. Those whose last order failed come after all others and leave
-    /// their place in the batch to them. The batch grows as the end of `limit`, the time after which
-    /// a target version is required, comes near.
+    /// Upstreams whose old weights expire first come first, and among them those with the fewest
+    /// running requests, because a load begins only after running requests have ended. Upstreams that
+    /// do not respond or whose last order failed come after all others. The batch grows as the end of
+    /// `limit`, the time after which a target version is required, comes near.
     pub fn schedule(
         &mut self,
         candidates: &[Candidate],
@@ -85,32 +101,38 @@
             return Vec::new();
         };
         let mut due = Vec::new();
-        let mut reachable = 0_usize;
+        let mut sound = Vec::new();
         for candidate in candidates {
             let failures = self.failures.get(&candidate.id);
             if failures.is_none() && candidate.is_responsive {
-                reachable += 1;
+                sound.push(candidate);
             }
-            let is_paused = failures.is_some_and(|failures| now < failures.retry_at);
             if candidate.version < target_version
                 && !self.pending.contains_key(&candidate.id)
-                && !is_paused
+                && failures.is_none_or(|failures| now >= failures.retry_at)
             {
                 let failed = failures.map_or(0, |failures| failures.count);
-                due.push((!candidate.is_responsive, failed, candidate));
+                let usable_until = targets.usable_until(candidate.version, limit);
+                due.push(((!candidate.is_responsive, failed, usable_until), candidate));
             }
         }
-        due.sort_by_key(|(is_silent, failed, candidate)| (*is_silent, *failed, candidate.running));
-        let max_pending =
-            reachable.div_ceil(BATCH_DIVISOR).max(needed_in_time(candidates, targets, limit, now));
+        due.sort_by_key(|(order, candidate)| (*order, candidate.running));
+        let mut demands = self.demands(&sound, targets, limit, now);
+        let batch = sound.len().div_ceil(BATCH_DIVISOR).max(1);
         let mut orders = Vec::new();
-        for (_, _, candidate) in due {
-            if self.pending.len() >= max_pending {
-                break;
+        for (_, candidate) in due {
+            let is_urgent =
+                demands.iter().any(|d| candidate.version < d.version && d.pending < d.needed);
+            if self.pending.len() >= batch && !is_urgent {
+                continue;
+            }
+            for demand in &mut demands {
+                demand.pending += usize::from(candidate.version < demand.version);
             }
             let order = PendingOrder {
                 version: target_version,
                 started_at: candidate.started_at,
+                sent_at: now,
                 expires_at: now + ORDER_TIMEOUT,
             };
             self.pending.insert(candidate.id.clone(), order);
@@ -119,6 +141,34 @@
         orders
     }
 
+    /// Returns how many orders must be pending for all sound upstreams to have each target version
+    /// before the end of its limit.
+    ///
+    /// After the limit requests no longer begin on older weights, so nothing is gained by sparing an
+    /// upstream that has them.
+    fn demands(
+        &self,
+        sound: &[&Candidate],
+        targets: &Targets,
+        limit: Millis,
+        now: Millis,
+    ) -> Vec<Demand> {
+        let mut demands = Vec::new();
+        for (version, limit_end) in targets.limit_ends(limit) {
+            let (mut behind, mut pending) = (0_usize, 0);
+            for candidate in sound {
+                if candidate.version < version {
+                    behind += 1;
+                    pending += usize::from(self.pending.contains_key(&candidate.id));
+                }
+            }
+            let rounds = limit_end.since(now).0 / LOAD_TIME.0;
+            let rounds = usize::try_from(rounds).unwrap_or(usize::MAX).max(1);
+            demands.push(Demand { version, needed: behind.div_ceil(rounds), pending });
+        }
+        demands
+    }
+
     /// Drops what a restart, a removal, the completion of a load or its timeout has ended.
     fn update(&mut self, candidates: &[Candidate], now: Millis) {
         let ids: BTreeSet<_> = candidates.iter().map(|c| (&c.id, c.started_at)).collect();
@@ -133,56 +183,57 @@
         }
     }
 
-    /// Returns the upstreams with a pending order.
-    pub fn pending(&self) -> impl Iterator<Item = &id::Upstream> {
-        self.pending.keys()
+    /// Returns the upstreams with a pending order, each with the time at which it was scheduled.
+    pub fn pending(&self) -> impl Iterator<Item = (&id::Upstream, Millis)> {
+        self.pending.iter().map(|(id, order)| (id, order.sent_at))
+    }
+
+    fn pending_order(&mut self, id: &id::Upstream, sent_at: Millis) -> Option<&mut PendingOrder> {
+        self.pending.get_mut(id).filter(|order| order.sent_at == sent_at)
     }
 
     /// Records that the upstream accepted the order.
-    pub fn record_success(&mut self, id: &id::Upstream) {
-        self.failures.remove(id);
+    pub fn record_accepted(&mut self, id: &id::Upstream, sent_at: Millis) {
+        if self.pending_order(id, sent_at).is_some() {
+            self.failures.remove(id);
+        }
     }
 
     /// Records that the upstream carries out another order; this one may be sent after a short time.
-    pub fn record_busy(&mut self, id: &id::Upstream, now: Millis) {
-        self.failures.remove(id);
-        if let Some(order) = self.pending.get_mut(id) {
+    pub fn record_busy(&mut self, id: &id::Upstream, sent_at: Millis, now: Millis) {
+        if let Some(order) = self.pending_order(id, sent_at) {
             order.expires_at = order.expires_at.min(now + BUSY_RECHECK);
+            self.failures.remove(id);
         }
     }
 
-    /// Records that an order was refused or got no response, or that the report on its progress is
-    /// not available. The order no longer counts as pending and may be sent again after a pause.
-    pub fn record_failure(&mut self, id: &id::Upstream, now: Millis) {
-        let Some(order) = self.pending.remove(id) else {
+    /// Records that the order got no response. The upstream may carry it out, so the order keeps its
+    /// place until the next report can show it.
+    pub fn record_unanswered(&mut self, id: &id::Upstream, sent_at: Millis, now: Millis) {
+        if let Some(order) = self.pending_order(id, sent_at) {
+            order.expires_at = order.expires_at.min(now + UNANSWERED_RECHECK);
+        }
+    }
+
+    /// Records that the order was not sent, for a reason that does not concern the upstream.
+    pub fn record_unsent(&mut self, id: &id::Upstream, sent_at: Millis) {
+        if self.pending_order(id, sent_at).is_some() {
+            self.pending.remove(id);
+        }
+    }
+
+    /// Records that the order was refused, or that the upstream's report is not available. The order
+    /// no longer counts as pending and may be sent again after a pause.
+    pub fn record_failure(&mut self, id: &id::Upstream, sent_at: Millis, now: Millis) {
+        let Some(order) = self.pending_order(id, sent_at).copied() else {
             return;
         };
+        self.pending.remove(id);
         let count = self.failures.get(id).map_or(0, |failures| failures.count);
         let pause = RETRY_PAUSE.0.saturating_mul(1_u64.checked_shl(count).unwrap_or(u64::MAX));
         let retry_at = now + Millis(pause.min(MAX_RETRY_PAUSE.0));
-        let failures =
-            Failures { count: count.saturating_add(1), started_at: order.started_at, retry_at };
+        let count = count.saturating_add(1);
+        let failures = Failures { count, started_at: order.started_at, retry_at };
         self.failures.insert(id.clone(), failures);
     }
 }
-
-/// Returns how many orders must be pending at once for all responsive upstreams to have each target
-/// version before the end of its limit.
-///
-/// After the limit requests no longer begin on older weights, so nothing is gained by sparing an
-/// upstream that has them.
-fn needed_in_time(
-    candidates: &[Candidate],
-    targets: &Targets,
-    limit: Millis,
-    now: Millis,
-) -> usize {
-    let mut needed = 0;
-    for (version, limit_end) in targets.limit_ends(limit) {
-        let behind = candidates.iter().filter(|c| c.is_responsive && c.version < version).count();
-        let left = limit_end.since(now);
-        let rounds = usize::try_from(left.0 / LOAD_TIME.0).unwrap_or(usize::MAX);
-        needed = needed.max(behind.div_ceil(rounds.max(1)));
-    }
-    needed
-}
--- a/damaskdrift_core/src/weights/target.rs
+++ b/damaskdrift_core/src/weights/target.rs
@@ -58,6 +58,15 @@
         self.insert(Target { version, set_at, is_assumed: true })
     }
 
+    /// Records that another instance knows that a version was set `age` ago.
+    ///
+    /// Only the platform store can name a newer target than those known.
+    pub fn record_reported(&mut self, version: u64, age: Millis, now: Millis) {
+        if self.newest().is_some_and(|newest| version <= newest) {
+            self.record(version, age, now);
+        }
+    }
+
     fn insert(&mut self, target: Target) -> bool {
         let index = self.targets.partition_point(|known| known.version < target.version);
         let known = self.targets.get_mut(index).filter(|known| known.version == target.version);
