Count the age of a target version from the last confirmation after a pause

An instance that was frozen, or cut off, and then read a waiting change counted it as made just now, so that callers could get answers made on weights replaced too long ago; after the limit no other instance reported the true age. Ages are reported as long as a version decides anything. A report can correct the age of versions up to the newest that the platform store named, but name no newer one, which no engine could load.

--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -69,9 +69,7 @@
     let mut targets = Vec::new();
     for (model, versions) in &*entry.target_versions.borrow() {
         for (version, age) in versions.known_ages(now) {
-            if age < entry.settings.version_limit {
-                targets.push((model.to_string(), version, age.0));
-            }
+            targets.push((model.to_string(), version, age.0));
         }
     }
     let missing = match entry.layout().role {
@@ -179,8 +177,9 @@
 fn apply_targets(entry: &state::Entry, targets: &[(String, u64, u64)], now: Millis) {
     let mut known = entry.target_versions.borrow_mut();
     for (model, version, age_ms) in targets {
-        let model = id::Model::new(model);
-        known.entry(model).or_default().record(*version, Millis(*age_ms), now);
+        if let Some(targets) = known.get_mut(&id::Model::new(model)) {
+            targets.record_reported(*version, Millis(*age_ms), now);
+        }
     }
 }
 
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -39,6 +39,9 @@
 /// Time that live upstreams have to register again after the store lost their entries in an outage.
 const REREGISTRATION_TIMEOUT: Millis = Millis(2_000);
 
+/// Age of the latest confirmation up to which changes count as made just now. With an older one the
+/// instance was paused or cut off, and the changes may have waited as long.
+const MAX_CHANGE_DELAY: Millis = Millis(2 * WATCH_WAIT.0);
 /// Time for which an instance that has just started may send requests to upstreams with weights
 /// older than the target version that it finds. Within it, instances that have been running report
 /// when the version was set.
@@ -246,11 +249,11 @@
 }
 
 /// Where items of the store come from.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Eq, PartialEq)]
 enum Source {
     /// A list, which does not show when the items were written.
     List,
-    /// Changes, which arrive shortly after they were made.
+    /// Changes, which arrive shortly after they were made while the store is followed.
     Changes,
 }
 
@@ -369,20 +372,21 @@
     let targets = targets.entry(weights.model.clone()).or_default();
     let now = clock::now();
     let limit = entry.old_weights_limit();
-    let is_newest = match (source, entry.config_confirmed_at.get()) {
-        (Source::Changes, _) => targets.record(weights.version, Millis(0), now),
-        // The version was set after this instance last knew the newest items.
-        (Source::List, Some(confirmed_at)) => {
-            targets.record_assumed(weights.version, now.since(confirmed_at), now)
+    // The version was set after this instance last knew the newest items.
+    let max_age = entry.config_confirmed_at.get().map(|at| now.since(at));
+    let assumed_age = limit - UNKNOWN_TARGET_ALLOWANCE;
+    let (is_newest, age) = match max_age {
+        Some(max_age) if source == Source::Changes && max_age < MAX_CHANGE_DELAY => {
+            (targets.record(weights.version, Millis(0), now), Millis(0))
         }
-        (Source::List, None) => {
-            targets.record_assumed(weights.version, limit - UNKNOWN_TARGET_ALLOWANCE, now)
+        _ => {
+            let age = max_age.map_or(assumed_age, |max_age| max_age.min(assumed_age));
+            (targets.record_assumed(weights.version, age, now), age)
         }
     };
     if is_newest {
-        let age_ms = targets.newest_age(now).map(|age| age.0);
         log::info!(
-            model:% = weights.model, version = weights.version, age_ms;
+            model:% = weights.model, version = weights.version, age_ms = age.0;
             "target version of weights changed"
         );
         targets.prune(now, limit);
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -146,7 +146,8 @@
     /// Upstreams that are loading weights, and milliseconds for which to keep avoiding them.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub loading: Vec<(String, u64)>,
-    /// Target versions that were set recently: model, version, and milliseconds since it was set.
+    /// Target versions that still decide something: model, version, and milliseconds since it was
+    /// set.
     #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
     pub targets: Vec<(String, u64, u64)>,
 }
