Count the preference for new weights from each version, and waiting for slots and fetches

Callers got answers on weights replaced seconds ago although newer ones were loaded elsewhere: the grace period of 1.2 s began anew with each version, the same fault as in the limit. And a request that waited for a slot or for a fetch could begin after the limit, since only queued prompts were counted. Change: the cost of old weights follows the first version that replaced them. The time at which a request begins includes the expected fetch and 1.5 s for each full round of the upstream's slots. Outdated weights have a reason of their own in refusals, and a request waits for a load at most 1.5 s.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -37,6 +37,9 @@
 /// Number of waiting requests beyond which the next one is refused at once. With more, an instance
 /// looks for room for each less than three times a second, and most would wait in vain.
 const MAX_WAITING: u32 = 64;
+/// Longest wait for an upstream to load the target version of its weights: a load takes about a
+/// second with the requests that end before it.
+const MAX_LOAD_WAIT: Duration = Duration::from_millis(1_500);
 /// Multiple of an idle engine's time to the first chunk that must be left of a request's time for
 /// it to wait further.
 const SERVICE_TIME_MARGIN: u32 = 2;
@@ -135,7 +138,7 @@
             }
             let (upstream, pending_prefill) = match self.choose_upstream() {
                 Ok(choice) => choice,
-                Err(balance::Unavailable::AtLimit) if self.may_wait() => {
+                Err(unavailable) if self.may_wait(unavailable) => {
                     self.wait_for_room().await;
                     continue;
                 }
@@ -187,8 +190,13 @@
 
     /// Returns whether the request may wait for an upstream with room: as long as it could still be
     /// answered before its deadline and before the caller leaves, unless too many wait already or
-    /// the instance stops.
-    fn may_wait(&self) -> bool {
+    /// the instance stops. It does not wait for weights that take longer than usual to load.
+    fn may_wait(&self, unavailable: balance::Unavailable) -> bool {
+        match unavailable {
+            balance::Unavailable::NoUpstream => return false,
+            balance::Unavailable::OutdatedWeights if self.waited >= MAX_LOAD_WAIT => return false,
+            balance::Unavailable::OutdatedWeights | balance::Unavailable::AtLimit => {}
+        }
         if self.entry.waiting.get() >= MAX_WAITING || self.entry.stopping.is_cancelled() {
             return false;
         }
@@ -203,6 +211,9 @@
         let (code, reason) = match unavailable {
             balance::Unavailable::NoUpstream => (code::Code::NoUpstream, "no upstream takes work"),
             balance::Unavailable::AtLimit => (code::Code::Overloaded, "upstreams are at limits"),
+            balance::Unavailable::OutdatedWeights => {
+                (code::Code::Overloaded, "upstreams have outdated weights")
+            }
         };
         let waited_ms = self.waited.as_millis();
         let reason = format!("{reason}; waited {waited_ms} ms for room; {last}");
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -49,6 +49,8 @@
 const PREFERRED_HIT_PROBABILITY: [f64; 2] = [0.9, 0.3];
 /// Time after a target version was set from which responses from older weights lose value.
 const VERSION_GRACE: Millis = Millis(1_200);
+/// Assumed time for which a running request keeps its slot, for requests that wait for one.
+const SLOT_TIME: Millis = Millis(1_500);
 /// Cost of weights older than the target version after [`VERSION_GRACE`].
 const OUTDATED_WEIGHTS_COST_MS: f64 = 300.0;
 /// Upper bound of the random part of a cost, which makes instances with equal state choose
@@ -81,8 +83,10 @@
 pub enum Unavailable {
     /// The service has no upstream that accepts requests.
     NoUpstream,
-    /// All usable upstreams are at a limit or have outdated weights.
+    /// All usable upstreams are at a limit.
     AtLimit,
+    /// All upstreams that have room have outdated weights.
+    OutdatedWeights,
 }
 
 /// Context of the choice besides the upstreams.
@@ -159,7 +163,7 @@
             rng.random_bool((PROBING_INSTANCES / f64::from(cx.instance_count.max(1))).min(1.0));
         let spread = spread_ms(&candidates, req, cx);
         let mut best: Option<(f64, &upstream::Upstream, u64)> = None;
-        let mut is_limited = false;
+        let mut unavailable = Unavailable::NoUpstream;
         for upstream in candidates {
             if req.tried.contains(&upstream.record.id)
                 || (may_eject && is_ejected(upstream) && !(may_probe && is_probed(upstream)))
@@ -168,8 +172,14 @@
             }
             let version = match servable_version(upstream, req, now) {
                 Ok(Some(version)) if has_room(upstream, req, cx, now) => version,
-                Ok(Some(_)) | Err(OutdatedWeights) => {
-                    is_limited = true;
+                Ok(Some(_)) => {
+                    unavailable = Unavailable::AtLimit;
+                    continue;
+                }
+                Err(OutdatedWeights) => {
+                    if unavailable == Unavailable::NoUpstream {
+                        unavailable = Unavailable::OutdatedWeights;
+                    }
                     continue;
                 }
                 Ok(None) => continue,
@@ -190,8 +200,7 @@
         }
         match best {
             Some((_, upstream, prefill)) => Ok((upstream.record.id.clone(), prefill)),
-            None if is_limited => Err(Unavailable::AtLimit),
-            None => Err(Unavailable::NoUpstream),
+            None => Err(unavailable),
         }
     }
 }
@@ -252,8 +261,8 @@
     best.map(|scored| scored.map(|(_, id)| id))
 }
 
-/// Requests may no longer begin on an upstream's weights; it takes some again once it has loaded the
-/// target version.
+/// Requests may no longer begin on an upstream's weights. The upstream accepts requests again once it
+/// has loaded the target version.
 struct OutdatedWeights;
 
 /// Returns the version of the weights on which a request would run, or `None` if the upstream does
@@ -275,8 +284,12 @@
     let Some(usable_until) = targets.usable_until(version, req.old_weights_limit) else {
         return Ok(Some(version));
     };
-    let queue = expected_first_chunk(upstream.load().pending_prefill + req.tokens);
-    let begins_by = now + Millis(OVERDUE_FACTOR * queue.0);
+    let load = upstream.load();
+    let prefill = expected_first_chunk(load.pending_prefill + req.tokens);
+    let fetch = req.fetch_time.unwrap_or(Millis(0));
+    let rounds = u64::from(load.in_flight / upstream.record.slots.max(1));
+    let begins_by =
+        now + Millis(OVERDUE_FACTOR * (prefill + fetch).0) + Millis(SLOT_TIME.0 * rounds);
     if begins_by < usable_until { Ok(Some(version)) } else { Err(OutdatedWeights) }
 }
 
@@ -333,9 +346,7 @@
     let Some((model, targets)) = req.model else {
         return (cost, 0);
     };
-    if targets.newest().is_some_and(|target| version < target)
-        && targets.newest_age(now) >= Some(VERSION_GRACE)
-    {
+    if targets.usable_until(version, VERSION_GRACE).is_some_and(|until| now >= until) {
         cost += OUTDATED_WEIGHTS_COST_MS;
     }
     let shared: u64 = req.segments.iter().map(|(_, tokens)| tokens).sum();
--- a/damaskdrift_core/src/weights/target.rs
+++ b/damaskdrift_core/src/weights/target.rs
@@ -90,11 +90,6 @@
         self.targets.last().map(|target| target.version)
     }
 
-    /// Returns how long ago the newest version was set, or `None` if none was.
-    pub fn newest_age(&self, now: Millis) -> Option<Millis> {
-        self.targets.last().map(|target| target.age(now))
-    }
-
     /// Returns until when a request may begin on a version, given the limit for which older versions
     /// may be used after a target was set; `None` if no target is newer.
     pub fn usable_until(&self, version: u64, limit: Millis) -> Option<Millis> {
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -328,15 +328,46 @@
     let mut scenario = Scenario::default();
     scenario.targets.record(2, since_target, NOW);
     let chosen = scenario.choose(&upstreams, NOW, &mut rng());
-    let expected = if may_use_old { None } else { Some(balance::Unavailable::AtLimit) };
+    let expected = if may_use_old { None } else { Some(balance::Unavailable::OutdatedWeights) };
     assert_eq!(chosen.err(), expected);
 }
 
+/// Guards against requests that wait for a slot until the limit of the upstream's weights has passed.
+#[rstest]
+fn requests_do_not_wait_for_a_slot_until_the_limit_of_old_weights_has_passed() {
+    let mut upstreams = fleet(1);
+    let id = id::Upstream::new("u0");
+    let running = balance::InFlightRequest { tokens: 0, pending_prefill: 0 };
+    for _ in 0..upstreams.get(&id).unwrap().record.slots {
+        upstreams.get_mut(&id).unwrap().begin_request(&running, NOW);
+    }
+    let mut scenario = Scenario::default();
+    scenario.targets.record(2, OLD_WEIGHTS_LIMIT - Millis(1_000), NOW);
+    let chosen = scenario.choose(&upstreams, NOW, &mut rng());
+    assert_eq!(chosen, Err(balance::Unavailable::OutdatedWeights));
+}
+
+/// Guards against weights that were replaced long ago and count as fresh because a newer version was
+/// set just now.
+#[rstest]
+fn a_newer_target_does_not_renew_the_preference_of_old_weights() {
+    let mut upstreams = fleet(2);
+    upstreams.get_mut(&id::Upstream::new("u0")).unwrap().set_version(&id::Model::new("m"), 2, NOW);
+    let mut scenario = Scenario::default();
+    scenario.targets.record(2, Millis(2_000), NOW);
+    scenario.targets.record(3, Millis(0), NOW);
+    let mut rng = rng();
+    for _ in 0..50 {
+        let (chosen, _) = scenario.choose(&upstreams, NOW, &mut rng).unwrap();
+        assert_eq!(chosen, id::Upstream::new("u0"));
+    }
+}
+
 /// Guards against starting a request on weights whose limit has passed when no upstream has newer
 /// ones, and against refusing it although the upstream is about to load them.
 #[rstest]
 #[case(Millis(7_250), None)]
-#[case(Millis(7_300), Some(balance::Unavailable::AtLimit))]
+#[case(Millis(7_300), Some(balance::Unavailable::OutdatedWeights))]
 fn no_request_starts_on_weights_past_their_limit(
     #[case] since_target: Millis,
     #[case] expected: Option<balance::Unavailable>,
