Split relayed changes that exceed the largest frame between instances

Leaves that reach the store only through relays refused all requests with a key after another writer had left two entries of a megabyte: both came in one watch, the frame with them exceeded the limit of 2 MiB, its encoding failed, and the relay closed the connection. It kept the frame for instances that reconnect, so each new connection ended in the same way.

A relay splits the changes of a watch into consecutive ranges of revisions that fit into a frame each.

--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -232,12 +232,13 @@
     }
     let restored_at = connectivity.restored_at;
     let restored_ago_ms = (restored_at > Millis(0)).then(|| clock::now().since(restored_at).0);
-    let range = (before, batch.revision);
-    let changes = message::Changes { range, items, restored_ago_ms };
-    let frame = Rc::new(message::Frame::Changes(changes));
-    entry.follower.retain(frame.clone());
-    // Sending fails only while no peer is connected.
-    let _ = entry.relay_tx.send(frame);
+    for (range, items) in message::split_changes((before, batch.revision), items) {
+        let changes = message::Changes { range, items, restored_ago_ms };
+        let frame = Rc::new(message::Frame::Changes(changes));
+        entry.follower.retain(frame.clone());
+        // Sending fails only while no peer is connected.
+        let _ = entry.relay_tx.send(frame);
+    }
 }
 
 /// Contents of a list of the store.
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -44,12 +44,46 @@
     pub range: (u64, u64),
     /// Key, value in the store's own encoding or `None` if the key was removed, and revision.
     #[serde(rename = "v")]
-    pub items: Vec<(String, Option<String>, u64)>,
+    pub items: Vec<Change>,
     /// Milliseconds since the sender saw the store recover from an outage; absent if it saw none.
     #[serde(rename = "o")]
     pub restored_ago_ms: Option<u64>,
 }
 
+/// One change of the platform store: key, value or `None` if the key was removed, and revision.
+pub type Change = (String, Option<String>, u64);
+
+/// Largest total of keys and values of changes that are sent in one frame, in bytes. The remainder of
+/// [`MAX_MESSAGE_BYTES`] is for their encoding; a single value has at most 1.4 MB.
+const MAX_CHANGES_BYTES: usize = MAX_MESSAGE_BYTES / 4 * 3;
+
+/// Splits changes into consecutive ranges of revisions that each fit into a frame.
+///
+/// Changes of one revision stay together, since a receiver has applied all of them or none.
+pub fn split_changes(
+    (before, last): (u64, u64),
+    mut changes: Vec<Change>,
+) -> Vec<((u64, u64), Vec<Change>)> {
+    changes.sort_by_key(|(_, _, revision)| *revision);
+    let mut parts = Vec::new();
+    let (mut from, mut part, mut bytes) = (before, Vec::new(), 0);
+    for change in changes {
+        let (key, value, revision) = &change;
+        let size = key.len() + value.as_ref().map_or(0, String::len);
+        let previous = part.last().map(|(_, _, revision): &Change| *revision);
+        if let Some(previous) = previous.filter(|previous| previous < revision)
+            && bytes + size > MAX_CHANGES_BYTES
+        {
+            parts.push(((from, previous), std::mem::take(&mut part)));
+            (from, bytes) = (previous, 0);
+        }
+        bytes += size;
+        part.push(change);
+    }
+    parts.push(((from, last), part));
+    parts
+}
+
 /// Revision of the platform store that the sender has installed, and how current it is.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreView {
