--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -240,12 +240,13 @@
     }
     let restored_at = connectivity.restored_at;
     let restored_ago_ms = (restored_at > Millis(0)).then(|| clock::now().since(restored_at).0);
-    let range = (before, batch.revision);
-    let changes = message::Changes { range, items, restored_ago_ms };
-    let frame = Rc::new(message::Frame::Changes(changes));
-    entry.follower.retain(frame.clone());
-    // Sending fails only while no peer is connected.
-    let _ = entry.relay_tx.send(frame);
+    for (range, items) in message::split_changes((before, batch.revision), items) {
+        let changes = message::Changes { range, items, restored_ago_ms };
+        let frame = Rc::new(message::Frame::Changes(changes));
+        entry.follower.retain(frame.clone());
+        // Sending fails only while no peer is connected.
+        let _ = entry.relay_tx.send(frame);
+    }
 }
 
 /// Where items of the store come from.
@@ -280,6 +281,17 @@
         let Some(change) = entry.port.decode_item(item) else {
             continue;
         };
+        let change = match change {
+            port::Change::Unreadable { key, reason, removal } => {
+                metrics::counter!("entries_unreadable").increment(1);
+                log::warn!(key, reason; "unreadable entry of the platform store");
+                match removal {
+                    Some(removal) => *removal,
+                    None => continue,
+                }
+            }
+            change => change,
+        };
         match change {
             port::Change::Config(document) => install(entry, *document),
             port::Change::Upstream(record) => {
@@ -311,10 +323,8 @@
                 listed.has_leader = leader.is_some();
                 *entry.leader.borrow_mut() = leader;
             }
-            port::Change::Unreadable(key, reason) => {
-                metrics::counter!("entries_unreadable").increment(1);
-                log::warn!(key, reason; "unreadable entry of the platform store skipped");
-            }
+            // A removal is always readable.
+            port::Change::Unreadable { .. } => {}
         }
     }
     entry.update_instances(registrations);
