Close connections on which a refusal named no request

Callers were told "not run, try again" for requests that two servers had run, when a faulty server sent an earlier refusal once more in place of a later response.

A connection is closed after a refusal without an id, and after one in response to a call (calls have no id), so that on every other connection a refusal without an id can only belong to the current request. After a 421 of another upstream the connection is closed as well, since the same request may next be sent to that address.

--- a/damaskdrift/src/entry/client.rs
+++ b/damaskdrift/src/entry/client.rs
@@ -22,6 +22,14 @@
 /// Maximum size of a response, which holds at most one encoded page of the platform store.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Statuses with which an upstream may refuse a request without running it.
+const REFUSALS: &[StatusCode] = &[
+    StatusCode::BAD_REQUEST,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Reason for which a request got no usable response.
 #[derive(Debug, Error)]
 pub enum Failure {
@@ -125,7 +133,11 @@
             let (parts, body) = conn.send(req).await?.into_parts();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|error| Failure::Unconfirmed(error.to_string()))?.to_bytes();
-            self.pool.put(address, conn, &parts);
+            // Responses to calls name no request. If a refusal were sent again, it would be taken for
+            // the response to the next request on this connection.
+            if !REFUSALS.contains(&parts.status) {
+                self.pool.put(address, conn, &parts);
+            }
             Ok((parts, body))
         };
         match tokio::time::timeout(timeout, exchange).await {
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -169,7 +169,11 @@
             }
             port::ResponseCheck::Misdirected(actual, version) => {
                 let reason = self.handle_misdirected(id, actual.as_ref(), version);
-                self.discard_body(conn, parts, incoming);
+                // The next attempt may reach another upstream at the same address; there, this
+                // refusal sent again would name the right request.
+                if actual.is_none_or(|actual| actual == *id) {
+                    self.discard_body(conn, parts, incoming);
+                }
                 return job::Outcome::NotRun(reason);
             }
             port::ResponseCheck::Mismatched(reason) => {
@@ -199,14 +203,20 @@
         job::Outcome::Forwarded(head.map(|()| body))
     }
 
-    /// Reads a small response that is not forwarded to its end, and then returns the connection to
-    /// the pool.
+    /// Reads a small refusal to its end, and then returns the connection to the pool.
+    ///
+    /// A faulty upstream may send a refusal again in place of a later response. If it names no
+    /// request, nothing shows that it doesn't belong to that later one, so the connection is closed;
+    /// on every other connection a refusal that names no request belongs to the current one.
     fn discard_body(
         &self,
         (address, conn): (net::SocketAddr, client::Conn),
         parts: response::Parts,
         incoming: Incoming,
     ) {
+        if !self.entry.port.names_request(&parts) {
+            return;
+        }
         let client = self.entry.client.clone();
         tokio::task::spawn_local(async move {
             let read = Limited::new(incoming, MAX_DISCARDED_BYTES).collect();
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -250,6 +250,9 @@
     /// Checks whether the head of an upstream's response belongs to the request with this id.
     fn check_response(&self, parts: &response::Parts, id: &str) -> ResponseCheck;
 
+    /// Returns whether the head of an upstream's response names the request that it belongs to.
+    fn names_request(&self, parts: &response::Parts) -> bool;
+
     /// Lists all items of the platform store.
     fn list(&self) -> LocalBoxFuture<'_, Result<Batch, StoreError>>;
 
