Keep what upstreams say about themselves in the core

A server that leaves, or that wants no requests for a while, says so in its responses, and no code read that. balance::Notices holds both per incarnation of an upstream, so that neither an outdated list nor a peer that knows less takes a notice back. The choice skips leaving and paused upstreams, returns traffic gradually after a pause, and reports the earliest end when all pause.

--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -84,6 +84,8 @@
     NoUpstream,
     /// All usable upstreams are at a limit.
     AtLimit,
+    /// All usable upstreams have asked for a pause, the first of which ends at this time.
+    Paused(Millis),
 }
 
 /// Context of the choice besides the upstreams.
@@ -144,6 +146,8 @@
             .filter(|u| u.record.service == req.service.id)
             .filter(|u| !u.record.is_draining && !cx.out_of_service.contains(&u.record.domain))
             .collect();
+        let admitted = self.notices.admit(candidates, req.tried, now);
+        let candidates = admitted.upstreams;
         let mean_failure_rate = candidates.iter().map(|u| u.health.failure_rate()).sum::<f64>()
             / candidates.len() as f64;
         let is_ejected = |u: &upstream::Upstream| {
@@ -160,7 +164,7 @@
             rng.random_bool((PROBING_INSTANCES / f64::from(cx.instance_count.max(1))).min(1.0));
         let spread = spread_ms(&candidates, req, cx);
         let mut best: Option<(f64, &upstream::Upstream, u64)> = None;
-        let mut is_limited = false;
+        let mut is_limited = admitted.is_limited;
         for upstream in candidates {
             if req.tried.contains(&upstream.record.id)
                 || (may_eject && is_ejected(upstream) && !(may_probe && is_probed(upstream)))
@@ -183,7 +187,8 @@
             if spread > 0.0 {
                 noise += spread * gumbel(rng);
             }
-            let cost = cost + FAILURE_COST_MS * excess + noise;
+            let hint = self.notices.hint_cost_ms(&upstream.record, now);
+            let cost = cost + FAILURE_COST_MS * excess + hint + noise;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, upstream, prefill));
             }
@@ -191,7 +196,7 @@
         match best {
             Some((_, upstream, prefill)) => Ok((upstream.record.id.clone(), prefill)),
             None if is_limited => Err(Unavailable::AtLimit),
-            None => Err(Unavailable::NoUpstream),
+            None => Err(admitted.paused_until.map_or(Unavailable::NoUpstream, Unavailable::Paused)),
         }
     }
 }
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -8,6 +8,7 @@
 
 use crate::balance::contact;
 use crate::balance::health;
+use crate::balance::notice;
 use crate::id;
 use crate::time::Millis;
 
@@ -122,6 +123,9 @@
 /// All upstreams known to an instance.
 #[derive(Debug, Default)]
 pub struct Upstreams {
+    /// What the upstreams say about themselves. It outlasts their records, because an entry that has
+    /// lapsed may be listed again.
+    pub notices: notice::Notices,
     all: BTreeMap<id::Upstream, Upstream>,
     reports: HashMap<Reporter, Report>,
     baseline_delays: HashMap<id::Service, health::BaselineDelay>,
