Obey upstreams that leave or ask for a pause

Callers saw requests go to servers that had said in every answer that they leave, and to servers that had asked for a pause, which refused them again. No code read either header of a server's response.

The adapter decodes both into balance::Notice, if the response belongs to the request and to the server. The choice, the check directly before sending, second attempts, reports and orders obey it. Where all upstreams of a service pause, a request waits only if a pause ends within its time, and is otherwise refused with a Retry-After after the first end. Reports pass leaving on, and a pause as a hint of load.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -19,6 +19,7 @@
 
 use crate::entry::clock;
 use crate::entry::forward;
+use crate::entry::notices;
 use crate::entry::port;
 use crate::entry::refusal;
 use crate::entry::relay;
@@ -135,7 +136,13 @@
             }
             let (upstream, pending_prefill) = match self.choose_upstream() {
                 Ok(choice) => choice,
-                Err(balance::Unavailable::AtLimit) if self.may_wait() => {
+                Err(balance::Unavailable::AtLimit) if self.may_wait(Duration::ZERO) => {
+                    self.wait_for_room().await;
+                    continue;
+                }
+                Err(balance::Unavailable::Paused(until))
+                    if self.may_wait(until.since(clock::now()).into()) =>
+                {
                     self.wait_for_room().await;
                     continue;
                 }
@@ -151,7 +158,7 @@
                         let code = code::Code::Overloaded;
                         let reason = format!("{upstream}: {last_reason}");
                         let refusal = refusal::Refusal::not_run(code, reason);
-                        return Err(forward::with_retry_after(self.entry, refusal));
+                        return Err(self.with_retry_after(refusal));
                     }
                 }
                 Outcome::Unknown(code, reason) => {
@@ -185,10 +192,10 @@
         self.waited += pause;
     }
 
-    /// Returns whether the request may wait for an upstream with room: as long as it could still be
-    /// answered before its deadline and before the caller leaves, unless too many wait already or
-    /// the instance stops.
-    fn may_wait(&self) -> bool {
+    /// Returns whether the request may wait for an upstream with room, which it finds after `pause`
+    /// at the earliest: as long as it could still be answered before its deadline and before the
+    /// caller leaves, unless too many wait already or the instance stops.
+    fn may_wait(&self, pause: Duration) -> bool {
         if self.entry.waiting.get() >= MAX_WAITING || self.entry.stopping.is_cancelled() {
             return false;
         }
@@ -196,6 +203,7 @@
         let needed = Duration::from(balance::expected_first_chunk(tokens)) * SERVICE_TIME_MARGIN;
         let patience = self.route.caller_patience.map(Duration::from);
         let patience_left = patience.map(|p| p.saturating_sub(self.started.elapsed()));
+        let needed = pause + needed;
         self.time_left().into_iter().chain(patience_left).all(|left| left > needed)
     }
 
@@ -203,11 +211,23 @@
         let (code, reason) = match unavailable {
             balance::Unavailable::NoUpstream => (code::Code::NoUpstream, "no upstream takes work"),
             balance::Unavailable::AtLimit => (code::Code::Overloaded, "upstreams are at limits"),
+            balance::Unavailable::Paused(_) => {
+                (code::Code::Overloaded, "all upstreams have asked for a pause")
+            }
         };
         let waited_ms = self.waited.as_millis();
         let reason = format!("{reason}; waited {waited_ms} ms for room; {last}");
-        let refusal = refusal::Refusal::not_run(code, reason);
-        forward::with_retry_after(self.entry, refusal)
+        self.with_retry_after(refusal::Refusal::not_run(code, reason))
+    }
+
+    /// Adds a retry delay to a refusal. It ends after the first of the service's upstreams may get
+    /// requests again, if all of them have asked for a pause.
+    fn with_retry_after(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        let mut refusal = forward::with_retry_after(self.entry, refusal);
+        if let Some(left) = notices::pause_left(self.entry, &self.service.id) {
+            refusal.retry_after = refusal.retry_after.map(|after| after + left);
+        }
+        refusal
     }
 
     /// Takes a retry for the next attempt from this instance's share of the retry limit, if one is
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -23,6 +23,7 @@
 use crate::entry::clock;
 use crate::entry::forward;
 use crate::entry::forward::{headers, job};
+use crate::entry::notices;
 use crate::entry::pool;
 use crate::entry::port;
 use crate::entry::relay;
@@ -76,13 +77,13 @@
             },
         };
         // While the connection was opened, the configuration may have expired and the upstream may
-        // have started draining.
+        // have started draining or asked for a pause.
         if self.head.api_key.is_some() && self.entry.staleness() == config_sync::Staleness::Expired
         {
             return job::Outcome::Refused(forward::configuration_stale(self.entry));
         }
         if self.target(id).is_none() {
-            return job::Outcome::NotSent("the upstream has begun to leave".to_owned());
+            return job::Outcome::NotSent("the upstream takes no more requests for now".to_owned());
         }
         let now = clock::now();
         let (req, plan_summary) = self.encode(id, model_version);
@@ -159,6 +160,9 @@
     ) -> job::Outcome {
         let (parts, incoming) = response.into_parts();
         guard.record_contact();
+        let notice = self.entry.port.decode_notice(&parts, &self.head.id, id);
+        let is_success = parts.status.is_success();
+        notices::apply(self.entry, guard.recipient(), notice, is_success, &self.head.id);
         match self.entry.port.check_response(&parts, &self.head.id) {
             port::ResponseCheck::Valid => {}
             port::ResponseCheck::NotRun => {
@@ -226,6 +230,9 @@
         if record.is_draining || self.entry.out_of_service.borrow().contains(&record.domain) {
             return None;
         }
+        if !upstreams.notices.may_send(record, clock::now()) {
+            return None;
+        }
         let prompt = self.head.prompt.as_ref();
         let version = prompt.and_then(|prompt| upstream.version(&prompt.model)).unwrap_or(0);
         Some((record.address, version))
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub mod forward;
 mod leadership;
 mod listener;
+mod notices;
 mod observe;
 mod peers;
 mod platform_store;
--- a/damaskdrift/src/entry/observe.rs
+++ b/damaskdrift/src/entry/observe.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::entry::clock;
+use crate::entry::notices;
 use crate::entry::state;
 
 /// Interval between updates of the gauges; metrics are scraped every few seconds.
@@ -19,6 +20,7 @@
         metrics::gauge!("upstreams").set(entry.upstreams.borrow().iter().count() as f64);
         metrics::gauge!("requests_running").set(f64::from(entry.requests.get()));
         metrics::gauge!("requests_waiting").set(f64::from(entry.waiting.get()));
+        notices::maintain(&entry);
         tokio::time::sleep(UPDATE_INTERVAL).await;
     }
 }
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -6,6 +6,7 @@
 use damaskdrift_core::time::Millis;
 
 use crate::entry::clock;
+use crate::entry::notices;
 use crate::entry::state;
 use crate::peer::message;
 
@@ -82,6 +83,7 @@
         contacts,
         weights,
         loading,
+        notices: notices::encode(entry, includes, now),
     })
 }
 
@@ -107,6 +109,7 @@
     }
     apply_weights(entry, &report.weights, &reporter, now);
     apply_loading(entry, &report.loading, &reporter, now);
+    notices::apply_report(entry, &report.notices, &reporter, now);
     if !counts(&reporter, role) {
         return;
     }
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -91,6 +91,15 @@
     Mismatched(&'static str),
 }
 
+/// What an upstream said about itself in the response to a call of the instance itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallNotice {
+    /// The upstream that the response names, if it names one.
+    pub upstream: Option<id::Upstream>,
+    /// The notice.
+    pub notice: balance::Notice,
+}
+
 /// Data that an instance publishes under its registration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Registration {
@@ -243,6 +252,18 @@
     /// Checks whether the head of an upstream's response belongs to the request with this id.
     fn check_response(&self, parts: &response::Parts, id: &str) -> ResponseCheck;
 
+    /// Decodes what an upstream says about itself in a response; nothing if the response cannot be
+    /// attributed to the request with this id and to this upstream.
+    fn decode_notice(
+        &self,
+        parts: &response::Parts,
+        id: &str,
+        upstream: &id::Upstream,
+    ) -> balance::Notice;
+
+    /// Removes and returns the notices in the responses to reports and orders from this address.
+    fn take_call_notices(&self, address: net::SocketAddr) -> Vec<CallNotice>;
+
     /// Lists all items of the platform store.
     fn list(&self) -> LocalBoxFuture<'_, Result<Batch, StoreError>>;
 
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -16,6 +16,7 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::notices;
 use crate::entry::state;
 
 /// Pending prefill from which other instances are notified immediately, in tokens. Such a prefill
@@ -27,6 +28,7 @@
 pub struct RequestGuard {
     entry: Rc<state::Entry>,
     upstream: id::Upstream,
+    incarnation: Option<balance::Incarnation>,
     request: balance::InFlightRequest,
     started_at: Millis,
     expected_first_chunk: Option<Millis>,
@@ -75,6 +77,7 @@
         expected_first_chunk: Option<Millis>,
     ) -> Self {
         let started_at = clock::now();
+        let incarnation = notices::incarnation(entry, upstream);
         if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(upstream) {
             upstream.begin_request(&request, started_at);
         }
@@ -82,7 +85,13 @@
             entry.report_due.notify_one();
         }
         let entry = entry.clone();
-        Self { entry, upstream: upstream.clone(), request, started_at, expected_first_chunk }
+        let upstream = upstream.clone();
+        Self { entry, upstream, incarnation, request, started_at, expected_first_chunk }
+    }
+
+    /// Returns the incarnation of the upstream that the request was sent to.
+    pub fn recipient(&self) -> notices::Recipient<'_> {
+        notices::Recipient { id: &self.upstream, incarnation: self.incarnation }
     }
 
     /// Records the arrival of the first chunk of the response.
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -15,6 +15,7 @@
 
 use crate::entry::clock;
 use crate::entry::leadership;
+use crate::entry::notices;
 use crate::entry::port;
 use crate::entry::state;
 
@@ -92,7 +93,7 @@
             let due = scheduler.schedule(&candidates, target, clock::now());
             let mut orders = Vec::new();
             for id in due {
-                let Some(address) = address(entry, &id) else {
+                let Some(address) = notices::address(entry, &id) else {
                     continue;
                 };
                 let weights = balance::Weights { model: model.clone(), version: target };
@@ -127,7 +128,7 @@
                 continue;
             }
             *requested_at = now;
-            if let Some(address) = address(entry, id) {
+            if let Some(address) = notices::address(entry, id) {
                 reads.push(task::spawn_local(read_report(entry.clone(), id.clone(), address)));
             }
         }
@@ -205,7 +206,9 @@
     let upstreams = entry.upstreams.borrow();
     let mut candidates = Vec::new();
     for upstream in upstreams.iter() {
-        if upstream.record.is_draining {
+        if upstream.record.is_draining
+            || !upstreams.notices.may_send(&upstream.record, clock::now())
+        {
             continue;
         }
         let Some(version) = upstream.version(model) else {
@@ -217,16 +220,15 @@
     candidates
 }
 
-fn address(entry: &state::Entry, id: &id::Upstream) -> Option<net::SocketAddr> {
-    entry.upstreams.borrow().get(id).map(|upstream| upstream.record.address)
-}
-
 async fn read_report(
     entry: Rc<state::Entry>,
     id: id::Upstream,
     address: net::SocketAddr,
 ) -> Option<port::Report> {
-    match entry.port.engine_report(address).await {
+    let incarnation = notices::incarnation(&entry, &id);
+    let report = entry.port.engine_report(address).await;
+    notices::apply_called(&entry, notices::Recipient { id: &id, incarnation }, "report");
+    match report {
         Ok(report) => {
             if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
                 for weights in &report.weights {
@@ -268,6 +270,10 @@
         // The order in progress may be this one, if its response was lost; later reports show it.
         return port::OrderReply::Accepted;
     }
+    // The report itself may have said that the upstream wants nothing more.
+    if notices::address(&entry, &id) != Some(address) {
+        return port::OrderReply::Conflict;
+    }
     if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(&id) {
         upstream.avoid_until = clock::now() + LOAD_AVOIDANCE;
     }
@@ -280,7 +286,9 @@
         fence,
         sequence: report.order_sequence,
     };
+    let incarnation = notices::incarnation(&entry, &id);
     let reply = entry.port.send_order(address, &order).await;
+    notices::apply_called(&entry, notices::Recipient { id: &id, incarnation }, "order");
     log::info!(
         upstream:% = id, version = order.weights.version, fence:%, sequence = order.sequence,
         reply:?;
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -146,6 +146,27 @@
     /// Upstreams that are loading weights, and milliseconds for which to keep avoiding them.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub loading: Vec<(String, u64)>,
+    /// What upstreams recently said about themselves.
+    #[serde(rename = "n", default, skip_serializing_if = "Notices::is_empty")]
+    pub notices: Notices,
+}
+
+/// What upstreams recently said about themselves in responses.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Notices {
+    /// Upstreams that leave: id, start of the process if known, and milliseconds since the notice.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<(String, Option<u64>, u64)>,
+    /// Upstreams that asked an instance for a pause, and milliseconds left of it.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub pausing: Vec<(String, u64)>,
+}
+
+impl Notices {
+    /// Returns whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.leaving.is_empty() && self.pausing.is_empty()
+    }
 }
 
 /// Handshake message with which an instance identifies itself.
--- a/damaskdrift_core/src/balance/notice.rs
+++ b/damaskdrift_core/src/balance/notice.rs
@@ -64,6 +64,11 @@
         Self { started_at: started_at.or(self.started_at), ..self }
     }
 
+    /// Returns the address on which the incarnation listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
     /// Returns whether this is known to have started after another incarnation of the same id.
     ///
     /// A record of an earlier start comes from an outdated list. Without start times only another
