--- a/damaskdrift_core/tests/notice.rs
+++ b/damaskdrift_core/tests/notice.rs
@@ -428,3 +428,61 @@
         assert_eq!(figures.refused, 0, "seed {seed}: a quarter of the upstreams remains");
     }
 }
+
+/// Guards against a sequence of notices, reports, lists and lapses in which an upstream that leaves
+/// or pauses gets a request, or in which reports of other instances empty the service.
+#[rstest]
+fn random_sequences_keep_both_rules() {
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut upstreams = fleet(4);
+        let mut now = NOW;
+        // By upstream: the latest start listed, the latest start that was told to leave, and the
+        // end of the pauses with the start that asked for them.
+        let mut listed = [5_u64; 4];
+        let mut left = [None; 4];
+        let mut paused = [(Millis(0), 5_u64); 4];
+        for step in 0..300 {
+            now = now + Millis(rng.random_range(0..400));
+            let index = rng.random_range(0..4);
+            match rng.random_range(0..8) {
+                0 if rng.random_bool(0.3) => {
+                    for (index, left) in left.iter_mut().enumerate().take(2) {
+                        *left = (*left).max(Some(listed[index]));
+                        notify(&mut upstreams, index, LEAVING, now);
+                    }
+                }
+                1 => {
+                    let length = Millis([0, 1_000, 30_000][rng.random_range(0..3)]);
+                    notify(&mut upstreams, index, pause(length.0), now);
+                    let (until, started_at) = &mut paused[index];
+                    let is_same = *started_at == listed[index];
+                    let before = if is_same { *until } else { Millis(0) };
+                    (*until, *started_at) = (before.max(now + length), listed[index]);
+                }
+                2 => {
+                    listed[index] += 1;
+                    let record = record(index, Some(listed[index]));
+                    upstreams.install(record, Millis(0), now);
+                }
+                3 => {
+                    upstreams.remove(&upstream_id(index));
+                    upstreams.install(record(index, Some(listed[index])), Millis(0), now);
+                }
+                4 => hear_leaving(&mut upstreams, index, now),
+                5 => upstreams.notices.record_taken(&upstream_id(index), now),
+                _ => {}
+            }
+            let allowed: Vec<_> = (0..4)
+                .filter(|index| left[*index] != Some(listed[*index]))
+                .filter(|index| paused[*index].1 != listed[*index] || now >= paused[*index].0)
+                .collect();
+            match choose(&upstreams, &[], now, &mut rng) {
+                Ok(chosen) => assert!(allowed.contains(&chosen), "seed {seed}, step {step}"),
+                Err(unavailable) => {
+                    assert!(allowed.is_empty(), "seed {seed}, step {step}: {unavailable:?}");
+                }
+            }
+        }
+    }
+}
