--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -20,6 +20,7 @@
 
 use crate::entry::clock;
 use crate::entry::forward;
+use crate::entry::notices;
 use crate::entry::port;
 use crate::entry::refusal;
 use crate::entry::relay;
@@ -154,7 +155,7 @@
                         let code = code::Code::Overloaded;
                         let reason = format!("{upstream}: {last_reason}");
                         let refusal = refusal::Refusal::not_run(code, reason);
-                        return Err(forward::with_retry_after(self.entry, refusal));
+                        return Err(self.with_retry_after(refusal));
                     }
                 }
                 Outcome::Unknown(code, reason) => {
@@ -190,13 +191,15 @@
 
     /// Returns whether the request may wait for an upstream with room: as long as it could still be
     /// answered before its deadline and before the caller leaves, unless too many wait already or
-    /// the instance stops. It does not wait for weights that take longer than usual to load.
+    /// the instance stops. It does not wait for weights that take longer than usual to load, nor for
+    /// a pause that ends too late.
     fn may_wait(&self, unavailable: balance::Unavailable) -> bool {
-        match unavailable {
+        let pause = match unavailable {
             balance::Unavailable::NoUpstream => return false,
             balance::Unavailable::OutdatedWeights if self.waited >= MAX_LOAD_WAIT => return false,
-            balance::Unavailable::OutdatedWeights | balance::Unavailable::AtLimit => {}
-        }
+            balance::Unavailable::OutdatedWeights | balance::Unavailable::AtLimit => Duration::ZERO,
+            balance::Unavailable::Paused(until) => until.since(clock::now()).into(),
+        };
         if self.entry.waiting.get() >= MAX_WAITING || self.entry.stopping.is_cancelled() {
             return false;
         }
@@ -204,6 +207,7 @@
         let needed = Duration::from(balance::expected_first_chunk(tokens)) * SERVICE_TIME_MARGIN;
         let patience = self.route.caller_patience.map(Duration::from);
         let patience_left = patience.map(|p| p.saturating_sub(self.started.elapsed()));
+        let needed = pause + needed;
         self.time_left().into_iter().chain(patience_left).all(|left| left > needed)
     }
 
@@ -214,11 +218,23 @@
             balance::Unavailable::OutdatedWeights => {
                 (code::Code::Overloaded, "upstreams have outdated weights")
             }
+            balance::Unavailable::Paused(_) => {
+                (code::Code::Overloaded, "all upstreams have asked for a pause")
+            }
         };
         let waited_ms = self.waited.as_millis();
         let reason = format!("{reason}; waited {waited_ms} ms for room; {last}");
-        let refusal = refusal::Refusal::not_run(code, reason);
-        forward::with_retry_after(self.entry, refusal)
+        self.with_retry_after(refusal::Refusal::not_run(code, reason))
+    }
+
+    /// Adds a retry delay to a refusal. It ends after the first of the service's upstreams may get
+    /// requests again, if all of them have asked for a pause.
+    fn with_retry_after(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        let mut refusal = forward::with_retry_after(self.entry, refusal);
+        if let Some(left) = notices::pause_left(self.entry, &self.service.id) {
+            refusal.retry_after = refusal.retry_after.map(|after| after + left);
+        }
+        refusal
     }
 
     /// Takes a retry for the next attempt from this instance's share of the retry limit, if one is
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -23,6 +23,7 @@
 use crate::entry::clock;
 use crate::entry::forward;
 use crate::entry::forward::{headers, job};
+use crate::entry::notices;
 use crate::entry::pool;
 use crate::entry::port;
 use crate::entry::relay;
@@ -76,14 +77,13 @@
             },
         };
         // While the connection was opened, the configuration and the upstream's weights may have
-        // expired and the upstream may have started draining.
+        // expired, and the upstream may have started draining or asked for a pause.
         if self.head.api_key.is_some() && self.entry.staleness() == config_sync::Staleness::Expired
         {
             return job::Outcome::Refused(forward::configuration_stale(self.entry));
         }
         let Some((_, model_version)) = self.target(id) else {
-            let reason = "the upstream has begun to leave or has outdated weights";
-            return job::Outcome::NotSent(reason.to_owned());
+            return job::Outcome::NotSent("the upstream takes no more requests for now".to_owned());
         };
         self.expected_weights = model_version;
         let now = clock::now();
@@ -161,6 +161,9 @@
     ) -> job::Outcome {
         let (parts, incoming) = response.into_parts();
         guard.record_contact();
+        let notice = self.entry.port.decode_notice(&parts, &self.head.id, id);
+        let is_success = parts.status.is_success();
+        notices::apply(self.entry, guard.recipient(), notice, is_success, &self.head.id);
         match self.entry.port.check_response(&parts, &self.head.id) {
             port::ResponseCheck::Valid => {}
             port::ResponseCheck::NotRun => {
@@ -238,6 +241,9 @@
         if record.is_draining || self.entry.out_of_service.borrow().contains(&record.domain) {
             return None;
         }
+        if !upstreams.notices.may_send(record, clock::now()) {
+            return None;
+        }
         let Some(prompt) = &self.head.prompt else {
             return Some((record.address, 0));
         };
--- a/damaskdrift/src/entry/peers/link.rs
+++ b/damaskdrift/src/entry/peers/link.rs
@@ -226,7 +226,7 @@
 
 fn apply(entry: &Rc<state::Entry>, frame: message::Frame) {
     match frame {
-        message::Frame::Load(load) => report::apply(entry, load),
+        message::Frame::Load(load) => report::apply(entry, *load),
         message::Frame::CacheStoreUpdate(update) => cache_stores::apply_relayed(entry, update),
         message::Frame::Changes(changes) => {
             if entry.relayed_changes.try_send(changes).is_err() {
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -6,6 +6,7 @@
 use damaskdrift_core::time::Millis;
 
 use crate::entry::clock;
+use crate::entry::notices;
 use crate::entry::state;
 use crate::peer::message;
 
@@ -76,7 +77,7 @@
         membership::Role::Leaf => entry.cache_stores.borrow().needing_snapshot(),
         membership::Role::Mesh | membership::Role::Relay => Vec::new(),
     };
-    message::Frame::Load(message::Load {
+    message::Frame::Load(Box::new(message::Load {
         instance: entry.settings.instance.to_string(),
         failure_domain: entry.settings.domain.to_string(),
         scope,
@@ -89,7 +90,8 @@
         weights,
         loading,
         targets,
-    })
+        notices: notices::encode(entry, includes, now),
+    }))
 }
 
 /// Applies a report of another instance.
@@ -115,6 +117,7 @@
     apply_weights(entry, &report.weights, &reporter, now);
     apply_loading(entry, &report.loading, &reporter, now);
     apply_targets(entry, &report.targets, now);
+    notices::apply_report(entry, &report.notices, &reporter, now);
     if !counts(&reporter, role) {
         return;
     }
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -14,6 +14,7 @@
 
 use crate::entry::clock;
 use crate::entry::leadership;
+use crate::entry::notices;
 use crate::entry::port;
 use crate::entry::state;
 
@@ -287,7 +288,9 @@
     let upstreams = entry.upstreams.borrow();
     let mut candidates = Vec::new();
     for upstream in upstreams.iter() {
-        if upstream.record.is_draining {
+        if upstream.record.is_draining
+            || !upstreams.notices.may_send(&upstream.record, clock::now())
+        {
             continue;
         }
         let Some(version) = upstream.version(model) else {
@@ -306,8 +309,11 @@
 
 /// Reads the report of an upstream and applies the weights in it; `None` if it is not available.
 async fn read_report(entry: &Rc<state::Entry>, id: &id::Upstream) -> Option<port::Report> {
-    let address = entry.upstreams.borrow().get(id).map(|upstream| upstream.record.address)?;
-    match entry.port.engine_report(address).await {
+    let address = notices::address(entry, id)?;
+    let incarnation = notices::incarnation(entry, id);
+    let report = entry.port.engine_report(address).await;
+    notices::apply_called(entry, notices::Recipient { id, incarnation }, "report");
+    match report {
         Ok(report) => {
             if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(id) {
                 upstream.record_contact(clock::now());
@@ -351,7 +357,8 @@
     if !lease.is_valid(clock::now()) {
         return CallResult::Unsent;
     }
-    let Some(address) = entry.upstreams.borrow().get(id).map(|u| u.record.address) else {
+    // The report itself may have said that the upstream wants nothing more.
+    let Some(address) = notices::address(entry, id) else {
         return CallResult::Unsent;
     };
     if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(id) {
@@ -366,7 +373,9 @@
         fence: lease.fence,
         sequence: report.order_sequence,
     };
+    let incarnation = notices::incarnation(entry, id);
     let reply = entry.port.send_order(address, &order).await;
+    notices::apply_called(entry, notices::Recipient { id, incarnation }, "order");
     log::info!(
         upstream:% = id, version = order.weights.version, fence:% = order.fence,
         sequence = order.sequence, reply:?;
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -87,6 +87,8 @@
     AtLimit,
     /// All upstreams that have room have outdated weights.
     OutdatedWeights,
+    /// All usable upstreams have asked for a pause, the first of which ends at this time.
+    Paused(Millis),
 }
 
 /// Context of the choice besides the upstreams.
@@ -147,6 +149,8 @@
             .filter(|u| u.record.service == req.service.id)
             .filter(|u| !u.record.is_draining && !cx.out_of_service.contains(&u.record.domain))
             .collect();
+        let admitted = self.notices.admit(candidates, req.tried, now);
+        let candidates = admitted.upstreams;
         let mean_failure_rate = candidates.iter().map(|u| u.health.failure_rate()).sum::<f64>()
             / candidates.len() as f64;
         let is_ejected = |u: &upstream::Upstream| {
@@ -163,7 +167,11 @@
             rng.random_bool((PROBING_INSTANCES / f64::from(cx.instance_count.max(1))).min(1.0));
         let spread = spread_ms(&candidates, req, cx);
         let mut best: Option<(f64, &upstream::Upstream, u64)> = None;
-        let mut unavailable = Unavailable::NoUpstream;
+        let mut unavailable = match (admitted.is_limited, admitted.paused_until) {
+            (true, _) => Unavailable::AtLimit,
+            (false, Some(until)) => Unavailable::Paused(until),
+            (false, None) => Unavailable::NoUpstream,
+        };
         for upstream in candidates {
             if req.tried.contains(&upstream.record.id)
                 || (may_eject && is_ejected(upstream) && !(may_probe && is_probed(upstream)))
@@ -193,7 +201,8 @@
             if spread > 0.0 {
                 noise += spread * gumbel(rng);
             }
-            let cost = cost + FAILURE_COST_MS * excess + noise;
+            let hint = self.notices.hint_cost_ms(&upstream.record, now);
+            let cost = cost + FAILURE_COST_MS * excess + hint + noise;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, upstream, prefill));
             }
