--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -161,10 +161,11 @@
     ) -> job::Outcome {
         let (parts, incoming) = response.into_parts();
         guard.record_contact();
+        let check = self.entry.port.check_response(&parts, &self.head.id);
+        let is_taken = check == port::ResponseCheck::Valid;
         let notice = self.entry.port.decode_notice(&parts, &self.head.id, id);
-        let is_success = parts.status.is_success();
-        notices::apply(self.entry, guard.recipient(), notice, is_success, &self.head.id);
-        match self.entry.port.check_response(&parts, &self.head.id) {
+        notices::apply(self.entry, guard.recipient(), notice, is_taken, &self.head.id);
+        match check {
             port::ResponseCheck::Valid => {}
             port::ResponseCheck::NotRun => {
                 let status = parts.status;
--- a/damaskdrift/src/entry/notices.rs
+++ b/damaskdrift/src/entry/notices.rs
@@ -35,15 +35,16 @@
     may_send.then_some(upstream.record.address)
 }
 
-/// Applies the notice in the response to the request with this id.
+/// Applies the notice in the response to the request with this id, which the upstream has taken or
+/// refused.
 pub fn apply(
     entry: &state::Entry,
     to: Recipient<'_>,
     notice: balance::Notice,
-    is_success: bool,
+    is_taken: bool,
     request: &str,
 ) {
-    if is_success {
+    if is_taken {
         entry.upstreams.borrow_mut().notices.record_taken(to.id, clock::now());
     }
     let Some(incarnation) = to.incarnation else {
