Keep reported notices apart from the upstream's own

A report with a start later than the real one made the upstream's own notice count as outdated, so the instance went on sending to it. wrong_report_does_not_hide_the_upstreams_own_notice failed before with the outcome Outdated.

--- a/damaskdrift_core/src/balance/notice.rs
+++ b/damaskdrift_core/src/balance/notice.rs
@@ -152,7 +152,11 @@
 /// The notices of all upstreams.
 #[derive(Debug, Default)]
 pub struct Notices {
-    known: BTreeMap<id::Upstream, Known>,
+    /// From responses to this instance.
+    own: BTreeMap<id::Upstream, Known>,
+    /// From reports of other instances, apart because a wrong start in a report must not hide what
+    /// an upstream itself says.
+    heard: BTreeMap<id::Upstream, Known>,
 }
 
 impl Notices {
@@ -165,11 +169,11 @@
         notice: Notice,
         now: Millis,
     ) -> Outcome {
-        let Some(known) = self.known_mut(id, incarnation, now) else {
+        let Some(known) = entry_mut(&mut self.own, id, incarnation, now) else {
             return Outcome::Outdated;
         };
         let mut outcome = Outcome::Known;
-        if notice.is_leaving && known.leaving.as_ref().is_none_or(|l| l.source.is_some()) {
+        if notice.is_leaving && known.leaving.is_none() {
             known.leaving = Some(Leaving { since: now, source: None });
             outcome = Outcome::Obeyed;
         }
@@ -198,7 +202,7 @@
     ///
     /// A pause that still lasts is obeyed to its end.
     pub fn record_taken(&mut self, id: &id::Upstream, now: Millis) {
-        let Some(known) = self.known.get_mut(id) else {
+        let Some(known) = self.own.get_mut(id) else {
             return;
         };
         let Some(pause) = &mut known.pause else {
@@ -219,7 +223,7 @@
         reporter: &upstream::Reporter,
         now: Millis,
     ) -> Outcome {
-        let Some(known) = self.known_mut(id, incarnation, now) else {
+        let Some(known) = entry_mut(&mut self.heard, id, incarnation, now) else {
             return Outcome::Outdated;
         };
         if known.leaving.is_some() {
@@ -238,52 +242,26 @@
         reporter: &upstream::Reporter,
         now: Millis,
     ) {
-        if let Some(known) = self.known_mut(&record.id, Incarnation::new(record), now) {
+        let incarnation = Incarnation::new(record);
+        if let Some(known) = entry_mut(&mut self.heard, &record.id, incarnation, now) {
             let until = now + left.min(MAX_HINT);
             known.hint = Some(Hint { until, source: Some(reporter.clone()) });
         }
     }
 
-    /// Returns the entry of an upstream for this incarnation, or `None` if it was replaced.
-    fn known_mut(
-        &mut self,
-        id: &id::Upstream,
-        incarnation: Incarnation,
-        now: Millis,
-    ) -> Option<&mut Known> {
-        let new = Known { incarnation, leaving: None, pause: None, hint: None, seen_at: now };
-        let known = self.known.entry(id.clone()).or_insert_with(|| new.clone());
-        if known.incarnation.replaces(&incarnation) {
-            return None;
-        }
-        if incarnation.replaces(&known.incarnation) {
-            *known = new;
-        }
-        known.seen_at = now;
-        Some(known)
-    }
-
-    /// Returns what is known of the incarnation in a record, or of a later one.
-    fn of(&self, record: &upstream::Record) -> Option<&Known> {
-        let known = self.known.get(&record.id)?;
-        (!Incarnation::new(record).replaces(&known.incarnation)).then_some(known)
-    }
-
     /// Returns whether the upstream has told this instance that it leaves.
     pub fn is_leaving(&self, record: &upstream::Record) -> bool {
-        let leaving = self.of(record).and_then(|known| known.leaving.as_ref());
-        leaving.is_some_and(|leaving| leaving.source.is_none())
+        find(&self.own, record).is_some_and(|known| known.leaving.is_some())
     }
 
-    /// Returns whether only other instances report that the upstream leaves.
+    /// Returns whether another instance reports that the upstream leaves.
     fn is_heard_leaving(&self, record: &upstream::Record) -> bool {
-        let leaving = self.of(record).and_then(|known| known.leaving.as_ref());
-        leaving.is_some_and(|leaving| leaving.source.is_some())
+        find(&self.heard, record).is_some_and(|known| known.leaving.is_some())
     }
 
     /// Returns the end of the pause for which the upstream has asked this instance, while it lasts.
     pub fn paused_until(&self, record: &upstream::Record, now: Millis) -> Option<Millis> {
-        let pause = self.of(record)?.pause?;
+        let pause = find(&self.own, record)?.pause?;
         (now < pause.until).then_some(pause.until)
     }
 
@@ -294,7 +272,7 @@
 
     /// Returns whether the requests in flight leave room for another one soon after a pause.
     fn has_room(&self, upstream: &upstream::Upstream, now: Millis) -> bool {
-        let Some(pause) = self.of(&upstream.record).and_then(|known| known.pause) else {
+        let Some(pause) = find(&self.own, &upstream.record).and_then(|known| known.pause) else {
             return true;
         };
         // An upstream that asks again and again gets one request at a time until it has taken one.
@@ -363,7 +341,7 @@
 
     /// Returns the cost of an upstream that has asked other instances for a pause, in milliseconds.
     pub fn hint_cost_ms(&self, record: &upstream::Record, now: Millis) -> f64 {
-        let hint = self.of(record).and_then(|known| known.hint.as_ref());
+        let hint = find(&self.heard, record).and_then(|known| known.hint.as_ref());
         if hint.is_some_and(|hint| now < hint.until) { HINT_COST_MS } else { 0.0 }
     }
 
@@ -374,7 +352,7 @@
         now: Millis,
     ) -> Vec<ReportedLeaving> {
         let mut reported = Vec::new();
-        for (id, known) in &self.known {
+        for (id, known) in self.own.iter().chain(&self.heard) {
             let Some(leaving) = &known.leaving else {
                 continue;
             };
@@ -397,7 +375,7 @@
         now: Millis,
     ) -> Vec<(id::Upstream, Millis)> {
         let mut reported = Vec::new();
-        for (id, known) in &self.known {
+        for (id, known) in self.own.iter().chain(&self.heard) {
             let own = known.pause.filter(|p| !p.is_repeated && now.since(p.since) < REPORT_TIME);
             let mut until = own.filter(|_| includes(None)).map_or(Millis(0), |pause| pause.until);
             if let Some(hint) = &known.hint
@@ -414,19 +392,22 @@
 
     /// Forgets the notices of upstreams that have not been listed for long.
     pub fn prune(&mut self, is_listed: impl Fn(&id::Upstream) -> bool, now: Millis) {
-        for (id, known) in &mut self.known {
-            if is_listed(id) {
-                known.seen_at = now;
+        for all in [&mut self.own, &mut self.heard] {
+            for (id, known) in all.iter_mut() {
+                if is_listed(id) {
+                    known.seen_at = now;
+                }
             }
+            all.retain(|_, known| now.since(known.seen_at) < RETENTION);
         }
-        self.known.retain(|_, known| now.since(known.seen_at) < RETENTION);
     }
 
-    /// Returns how many known upstreams have said that they leave, and how many pauses last.
+    /// Returns how many upstreams have told this instance that they leave, and how many of their
+    /// pauses last.
     pub fn counts(&self, now: Millis) -> (usize, usize) {
-        let leaving = self.known.values().filter(|known| known.leaving.is_some()).count();
+        let leaving = self.own.values().filter(|known| known.leaving.is_some()).count();
         let is_paused = |known: &&Known| known.pause.is_some_and(|pause| now < pause.until);
-        (leaving, self.known.values().filter(is_paused).count())
+        (leaving, self.own.values().filter(is_paused).count())
     }
 }
 
@@ -434,3 +415,31 @@
 fn ramp_time() -> Millis {
     Millis(RAMP_STEP.0 * RAMP_STEPS)
 }
+
+/// Returns the entry of an upstream for this incarnation, or `None` if a later one is known.
+fn entry_mut<'a>(
+    all: &'a mut BTreeMap<id::Upstream, Known>,
+    id: &id::Upstream,
+    incarnation: Incarnation,
+    now: Millis,
+) -> Option<&'a mut Known> {
+    let new = Known { incarnation, leaving: None, pause: None, hint: None, seen_at: now };
+    let known = all.entry(id.clone()).or_insert_with(|| new.clone());
+    if known.incarnation.replaces(&incarnation) {
+        return None;
+    }
+    if incarnation.replaces(&known.incarnation) {
+        *known = new;
+    }
+    known.seen_at = now;
+    Some(known)
+}
+
+/// Returns what is known of the incarnation in a record, or of a later one.
+fn find<'a>(
+    all: &'a BTreeMap<id::Upstream, Known>,
+    record: &upstream::Record,
+) -> Option<&'a Known> {
+    let known = all.get(&record.id)?;
+    (!Incarnation::new(record).replaces(&known.incarnation)).then_some(known)
+}
