Keep prompts from engines that their segments crash

Callers of sound requests lost their streams one engine after the other: each request with a certain segment crashed the engine that began to answer it, and the next one was sent to the next engine.

Cause: no instance related the end of an engine to the prompts that were in flight there, so each request was judged alone.

Each instance now records crashes of engines with the shared segments of the requests that they broke off, and which segments were answered. A broken connection counts as a crash once the address refuses connections or discovery lists another start. The records travel with the load reports, merge in any order and are keyed by the start of the engine. The fewest segments that explain three crashes (four beside crashes of other causes, or if the segment was answered before) and were answered nowhere since are put in quarantine: requests with them are refused as not run (1404), those in queues of engines are given up, and a request whose engine crashed is not repeated while a segment of it is suspect. After 60 s, doubling with each crash, one instance tests the segment with single requests.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -22,6 +22,7 @@
 use crate::entry::forward;
 use crate::entry::notices;
 use crate::entry::port;
+use crate::entry::quarantine;
 use crate::entry::refusal;
 use crate::entry::relay;
 use crate::entry::state;
@@ -77,6 +78,8 @@
     pub expected_weights: u64,
     /// Whether a retry was already taken from the retry limit for the next attempt.
     pub has_retry: bool,
+    /// Ids of the segments of the prompt that other requests may have as well.
+    pub shared_segments: Rc<[u64]>,
 }
 
 /// A request that counts as waiting for room until this value is dropped, also if its caller leaves.
@@ -109,6 +112,8 @@
     Unknown(code::Code, String),
     /// The request must not be sent to any upstream.
     Refused(refusal::Refusal),
+    /// The request was sent and given up because it must not be run by any upstream.
+    Withdrawn(refusal::Refusal),
 }
 
 impl Job<'_> {
@@ -125,8 +130,12 @@
     }
 
     async fn run_attempts(&mut self) -> Result<Response<relay::Body>, refusal::Refusal> {
+        quarantine::admit(self.entry, &self.shared_segments)?;
         let mut last_reason = String::new();
         loop {
+            if let Some(refusal) = self.entry.quarantine.check(&self.shared_segments) {
+                return Err(refusal);
+            }
             if self.time_left().is_some_and(|left| left < MIN_TIME_LEFT) {
                 let reason = format!("no time left; {last_reason}");
                 let code = code::Code::DeadlineUnreachable;
@@ -148,6 +157,10 @@
             match self.send(&upstream, pending_prefill).await {
                 Outcome::Forwarded(response) => return Ok(response),
                 Outcome::Refused(refusal) => return Err(refusal),
+                Outcome::Withdrawn(refusal) => {
+                    self.may_have_run = true;
+                    return Err(refusal);
+                }
                 Outcome::NotSent(reason) => last_reason = reason,
                 Outcome::NotRun(reason) => {
                     last_reason = reason;
@@ -160,7 +173,8 @@
                 }
                 Outcome::Unknown(code, reason) => {
                     self.may_have_run = true;
-                    let can_retry = self.route.retry_policy == routing::RetryPolicy::MayRunAgain;
+                    let can_retry = self.route.retry_policy == routing::RetryPolicy::MayRunAgain
+                        && !(code == code::Code::UpstreamBroken && self.is_suspect());
                     let is_last = self.attempts >= self.route.max_attempts;
                     if !can_retry || is_last || !self.take_retry() {
                         let reason = format!("{upstream}: {reason}");
@@ -276,6 +290,12 @@
         is_silent || balance::is_overdue(waited, upstream.load())
     }
 
+    /// Returns whether a segment of the prompt may be the reason for which an upstream broke the
+    /// connection, so that a repeat could end another one.
+    fn is_suspect(&self) -> bool {
+        !self.entry.quarantine.may_repeat(&self.shared_segments)
+    }
+
     /// Returns the workspace if it shares no cached prompt segments with others.
     pub fn isolated_workspace(&self) -> Option<&id::Workspace> {
         self.workspace.filter(|w| w.is_isolated).map(|w| &w.id)
--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -105,6 +105,7 @@
         let refusal = refusal::Refusal::not_run(code::Code::NoUpstream, reason);
         return Err(with_retry_after(entry, refusal));
     };
+    let shared_segments = head.prompt.as_ref().map(port::Prompt::shared_segments);
     let job = job::Job {
         entry,
         head,
@@ -121,6 +122,7 @@
         waited: Duration::ZERO,
         expected_weights: 0,
         has_retry: false,
+        shared_segments: shared_segments.unwrap_or_default(),
     };
     job.run().await
 }
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -26,6 +26,7 @@
 use crate::entry::notices;
 use crate::entry::pool;
 use crate::entry::port;
+use crate::entry::quarantine;
 use crate::entry::relay;
 
 /// Time without a response head from which an attempt may be given up in favour of another one, in
@@ -86,6 +87,9 @@
             return job::Outcome::NotSent("the upstream takes no more requests for now".to_owned());
         };
         self.expected_weights = model_version;
+        if let Some(refusal) = self.entry.quarantine.check(&self.shared_segments) {
+            return job::Outcome::Refused(refusal);
+        }
         let now = clock::now();
         let (req, plan_summary) = self.encode(id, model_version);
         if self.attempts == 0 {
@@ -96,12 +100,24 @@
         let in_flight = balance::InFlightRequest { tokens, pending_prefill };
         let expected = self.head.prompt.as_ref();
         let expected = expected.map(|_| balance::expected_first_chunk(pending_prefill));
-        let guard = relay::RequestGuard::new(self.entry, id, in_flight, expected);
-        let response = match self.exchange(id, &mut conn, req).await {
+        let mut guard = relay::RequestGuard::new(self.entry, id, in_flight, expected);
+        if !self.shared_segments.is_empty() {
+            let segments = &self.shared_segments;
+            let exposure = quarantine::Exposure::new(self.entry, id, &self.head.id, segments);
+            guard = guard.with_exposure(exposure);
+        }
+        let blamed = quarantine::blamed(self.entry.clone(), self.shared_segments.clone());
+        let exchanged = tokio::select! {
+            exchanged = self.exchange(id, &mut conn, req) => exchanged,
+            // The connection is closed, so that the request leaves the queue of the upstream.
+            refusal = blamed => return job::Outcome::Withdrawn(refusal),
+        };
+        let response = match exchanged {
             Ok(Ok(response)) => response,
             Ok(Err(client::Failure::NotSent(reason))) => return job::Outcome::NotSent(reason),
             Ok(Err(failure)) => {
                 guard.observe(balance::Observation::TransportError);
+                guard.record_break();
                 self.entry.client.pool().clear(address);
                 return job::Outcome::Unknown(code::Code::UpstreamBroken, failure.to_string());
             }
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod platform_store;
 mod pool;
 pub mod port;
+mod quarantine;
 mod refusal;
 mod relay;
 mod retry;
--- a/damaskdrift/src/entry/peers/mod.rs
+++ b/damaskdrift/src/entry/peers/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::entry::clock;
 use crate::entry::listener;
+use crate::entry::quarantine;
 use crate::entry::state;
 use crate::peer::message;
 
@@ -65,6 +66,7 @@
         let now = clock::now();
         entry.upstreams.borrow_mut().sum_reports(now);
         entry.observed_weights.borrow_mut().expire(now);
+        quarantine::update(&entry);
         log_silence(&entry, &mut silent, now);
         tx.send_replace(outgoing(&entry));
         tokio::time::sleep(report_pause(&entry)).await;
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::clock;
 use crate::entry::notices;
+use crate::entry::quarantine;
 use crate::entry::state;
 use crate::peer::message;
 
@@ -91,6 +92,7 @@
         loading,
         targets,
         notices: notices::encode(entry, includes, now),
+        quarantine: quarantine::encode(entry),
     }))
 }
 
@@ -118,6 +120,9 @@
     apply_loading(entry, &report.loading, &reporter, now);
     apply_targets(entry, &report.targets, now);
     notices::apply_report(entry, &report.notices, &reporter, now);
+    if let Some(message) = &report.quarantine {
+        quarantine::apply(entry, message);
+    }
     if !counts(&reporter, role) {
         return;
     }
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::fmt::Debug;
 use std::net;
+use std::rc::Rc;
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
@@ -42,6 +43,14 @@
     pub segments: Vec<prefix_cache::Segment>,
 }
 
+impl Prompt {
+    /// Returns the ids of the segments that other requests may have as well.
+    pub fn shared_segments(&self) -> Rc<[u64]> {
+        let shared = self.segments.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|segment| segment.id).collect()
+    }
+}
+
 /// Values that are added to the caller's headers when a request is forwarded.
 #[derive(Clone, Copy, Debug)]
 pub struct ForwardHeaders<'a> {
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -17,6 +17,7 @@
 use crate::entry::client;
 use crate::entry::clock;
 use crate::entry::notices;
+use crate::entry::quarantine;
 use crate::entry::state;
 
 /// Pending prefill from which other instances are notified immediately, in tokens. Such a prefill
@@ -32,6 +33,7 @@
     request: balance::InFlightRequest,
     started_at: Millis,
     expected_first_chunk: Option<Millis>,
+    exposure: Option<quarantine::Exposure>,
 }
 
 /// Reason for which the instance aborted a response after its head was forwarded.
@@ -86,7 +88,15 @@
         }
         let entry = entry.clone();
         let upstream = upstream.clone();
-        Self { entry, upstream, incarnation, request, started_at, expected_first_chunk }
+        Self {
+            entry,
+            upstream,
+            incarnation,
+            request,
+            started_at,
+            expected_first_chunk,
+            exposure: None,
+        }
     }
 
     /// Returns the incarnation of the upstream that the request was sent to.
@@ -94,6 +104,26 @@
         notices::Recipient { id: &self.upstream, incarnation: self.incarnation }
     }
 
+    /// Sets the segments that are evidence if the upstream ends during the request.
+    pub fn with_exposure(mut self, exposure: Option<quarantine::Exposure>) -> Self {
+        self.exposure = exposure;
+        self
+    }
+
+    /// Records that the upstream's connection broke before the end of the answer.
+    pub fn record_break(&mut self) {
+        if let Some(exposure) = self.exposure.take() {
+            exposure.record_break(&self.entry);
+        }
+    }
+
+    /// Records that the answer is complete.
+    fn record_answer(&mut self) {
+        if let Some(exposure) = self.exposure.take() {
+            exposure.record_answer(&self.entry);
+        }
+    }
+
     /// Records the arrival of the first chunk of the response.
     fn observe_first_chunk(&mut self) {
         let now = clock::now();
@@ -152,6 +182,7 @@
     }
 
     fn release_connection(&mut self) {
+        self.guard.record_answer();
         if let Some((address, conn, parts)) = self.conn.take() {
             self.guard.entry.client.pool().put(address, conn, &parts);
         }
@@ -191,6 +222,9 @@
         match Pin::new(&mut body.incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 body.guard.record_contact();
+                if let Some(exposure) = &mut body.guard.exposure {
+                    exposure.record_chunk();
+                }
                 if !body.has_received_chunk {
                     body.has_received_chunk = true;
                     body.guard.observe_first_chunk();
@@ -204,6 +238,7 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 body.guard.observe(balance::Observation::TransportError);
+                body.guard.record_break();
                 let error = BodyError::from(error);
                 body.log_abort(&error);
                 Poll::Ready(Some(Err(error)))
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -21,6 +21,7 @@
 use crate::entry::clock;
 use crate::entry::follower;
 use crate::entry::port;
+use crate::entry::quarantine;
 use crate::entry::retry;
 use crate::entry::settings;
 use crate::peer::message;
@@ -150,6 +151,8 @@
     pub relay_tx: broadcast::Sender<Rc<message::Frame>>,
     /// Observed weights of upstreams, which are reported to other instances.
     pub observed_weights: RefCell<ObservedWeights>,
+    /// Segments on which engines crashed.
+    pub quarantine: quarantine::Quarantine,
     /// State for following the platform store through relays.
     pub follower: follower::Follower,
     /// Changes received from relays, in order.
@@ -187,6 +190,7 @@
             relay_tx: broadcast::Sender::new(RELAY_QUEUE_FRAMES),
             observed_weights: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
+            quarantine: quarantine::Quarantine::default(),
             follower: follower::Follower::default(),
             relayed_changes,
             instances: RefCell::default(),
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -187,6 +187,10 @@
     /// What upstreams recently said about themselves.
     #[serde(rename = "n", default, skip_serializing_if = "Notices::is_empty")]
     pub notices: Notices,
+    /// Crashes of upstreams, and segments of prompts that are blamed for them; absent if no report
+    /// of them is due.
+    #[serde(rename = "pq", default, skip_serializing_if = "Option::is_none")]
+    pub quarantine: Option<Quarantine>,
 }
 
 /// What upstreams recently said about themselves in responses.
@@ -207,6 +211,23 @@
     }
 }
 
+/// Crashes of upstreams that the sender knows of, and the segments of prompts that it blames.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Quarantine {
+    /// Per crash: upstream, Unix time of its start or 0, milliseconds since the crash, and the
+    /// segments that may have caused it.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<(String, u64, u64, Vec<CrashCandidate>)>,
+    /// Per blamed segment: id, number of crashes, milliseconds since the last one, and whether it
+    /// was answered since.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub blames: Vec<(u64, u32, u64, bool)>,
+}
+
+/// A segment in flight at a crash: id, position in the prompt, and whether it is known to have been
+/// answered never (0), before the crash (1) or since (2).
+pub type CrashCandidate = (u64, u8, u8);
+
 /// Handshake message with which an instance identifies itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Hello {
--- a/damaskdrift_core/src/code.rs
+++ b/damaskdrift_core/src/code.rs
@@ -103,6 +103,8 @@
     DeadlineUnreachable = 1402, "deadline-unreachable", 503;
     /// The workspace exceeded its share.
     ShareExceeded = 1403, "share-exceeded", 429;
+    /// Engines crashed on requests with a segment of the prompt.
+    SegmentQuarantined = 1404, "segment-quarantined", 503;
     /// The instance has no configuration yet.
     NotConfigured = 1501, "not-configured", 503;
     /// The instance cannot confirm that its configuration is current.
--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod order;
 pub mod placement;
 pub mod prefix_cache;
+pub mod quarantine;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
