Look twice only whether an upstream that broke a connection has ended

Each look opens a connection, which a live upstream with broken answers pays for with a slot; discovery alone shows restarts after the second look.

--- a/damaskdrift/src/entry/quarantine.rs
+++ b/damaskdrift/src/entry/quarantine.rs
@@ -22,9 +22,12 @@
 use crate::entry::state;
 use crate::peer::message;
 
-/// Pauses before each look whether an upstream that broke a connection has ended. An address refuses
-/// connections at once; discovery shows a restart after some seconds.
-const CHECK_PAUSES_MS: [u64; 5] = [10, 50, 200, 1_000, 3_000];
+/// Pauses before each look whether an upstream that broke a connection has ended. Discovery shows a
+/// restart after some seconds.
+const CHECK_PAUSES_MS: [u64; 4] = [10, 200, 1_000, 3_000];
+/// Number of these looks that open a connection. The address of an ended upstream refuses it at
+/// once, and each connection costs a live upstream time.
+const CONNECTION_CHECKS: usize = 2;
 /// Time for which an ended upstream is remembered, for requests whose broken connection is noticed
 /// later than others.
 const ENDED_TTL: Millis = Millis(10_000);
@@ -264,9 +267,10 @@
     address: net::SocketAddr,
 ) {
     let mut is_ended = false;
-    for pause_ms in CHECK_PAUSES_MS {
+    for (number, pause_ms) in CHECK_PAUSES_MS.into_iter().enumerate() {
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-        if is_replaced(&entry, &incarnation) || refuses_connections(address).await {
+        let connects = number < CONNECTION_CHECKS;
+        if is_replaced(&entry, &incarnation) || (connects && refuses_connections(address).await) {
             is_ended = true;
             break;
         }
