Break off streams that end inside an event

Callers got a stream as complete that its server had broken off, where the answer had neither a length nor chunks: hyper takes the end of the connection for the end of the body, and the instance closed its own chunked answer in good order. The same holds for a stream whose framing is complete and whose last event is not.

An event stream now has to end with an empty line; one that ends with its connection needs an event at all. Otherwise the answer to the caller is broken off, and the break counts against the server like a reset. An answer without length and chunks is evidence for its segments only from its second chunk on.

A server that closes between two events cannot be told from one that has finished.

--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod cache_stores;
 pub mod client;
 mod clock;
+mod event_stream;
 mod follower;
 pub mod forward;
 mod leadership;
--- a/damaskdrift/src/entry/quarantine.rs
+++ b/damaskdrift/src/entry/quarantine.rs
@@ -35,6 +35,9 @@
 /// its engine. A request crashes an engine when its answer begins, and some events may be sent until
 /// then.
 const BEGIN_TIME: Millis = Millis(500);
+/// Number of chunks from which an answer without length and chunks shows that the engine did not
+/// crash when it began.
+const MIN_UNFRAMED_CHUNKS: u32 = 2;
 
 /// The shared segments of a request and the engine that it was sent to.
 #[derive(Clone, Debug)]
@@ -44,6 +47,7 @@
     address: net::SocketAddr,
     segments: Rc<[u64]>,
     first_chunk_at: Option<Millis>,
+    chunks: u32,
     broken_at: Option<Millis>,
 }
 
@@ -88,16 +92,24 @@
         };
         let (request_id, segments) = (Rc::from(request_id), segments.clone());
         let (first_chunk_at, broken_at, address) = (None, None, record.address);
-        Some(Self { request_id, incarnation, address, segments, first_chunk_at, broken_at })
+        let chunks = 0;
+        Some(Self { request_id, incarnation, address, segments, first_chunk_at, chunks, broken_at })
     }
 
     /// Records the arrival of a chunk of the answer.
     pub fn record_chunk(&mut self) {
         self.first_chunk_at.get_or_insert_with(clock::now);
+        self.chunks = self.chunks.saturating_add(1);
     }
 
     /// Records that the answer is complete.
-    pub fn record_answer(&self, entry: &state::Entry) {
+    ///
+    /// An answer that ends with its connection after its first chunk is no evidence: an engine that
+    /// crashes on the request may close the connection like that.
+    pub fn record_answer(&self, entry: &state::Entry, is_close_delimited: bool) {
+        if is_close_delimited && self.chunks < MIN_UNFRAMED_CHUNKS {
+            return;
+        }
         entry.quarantine.ledger.borrow_mut().record_answer(&self.segments, clock::now());
     }
 
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -16,6 +16,7 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::event_stream;
 use crate::entry::notices;
 use crate::entry::quarantine;
 use crate::entry::state;
@@ -42,6 +43,9 @@
     /// The upstream's connection failed before the end of the body.
     #[error("upstream response truncated: {_0}")]
     Upstream(#[from] hyper::Error),
+    /// The upstream's response ended inside an event.
+    #[error("upstream response ended inside an event")]
+    EndedInsideEvent,
     /// The request's deadline passed while the body was incomplete.
     #[error("request deadline exceeded before the end of the upstream response")]
     DeadlineExceeded,
@@ -56,6 +60,8 @@
     deadline: Option<Pin<Box<tokio::time::Sleep>>>,
     has_received_chunk: bool,
     request_id: String,
+    events: Option<event_stream::EventStream>,
+    is_close_delimited: bool,
 }
 
 /// The body of a response to a caller.
@@ -118,9 +124,9 @@
     }
 
     /// Records that the answer is complete.
-    fn record_answer(&mut self) {
+    fn record_answer(&mut self, is_close_delimited: bool) {
         if let Some(exposure) = self.exposure.take() {
-            exposure.record_answer(&self.entry);
+            exposure.record_answer(&self.entry, is_close_delimited);
         }
     }
 
@@ -177,12 +183,43 @@
         request_id: String,
     ) -> Self {
         let deadline = deadline.map(|at| Box::pin(tokio::time::sleep_until(at)));
-        let conn = Some(conn);
-        Self { incoming, guard, conn, deadline, has_received_chunk: false, request_id }
+        let (_, _, parts) = &conn;
+        let events = event_stream::EventStream::of_response(parts);
+        let is_close_delimited = event_stream::is_close_delimited(parts);
+        Self {
+            incoming,
+            guard,
+            conn: Some(conn),
+            deadline,
+            has_received_chunk: false,
+            request_id,
+            events,
+            is_close_delimited,
+        }
+    }
+
+    /// Returns whether the response would be an incomplete event stream if it ended now.
+    ///
+    /// A stream without any event is complete only if its framing says so.
+    fn ends_inside_event(&self) -> bool {
+        let Some(events) = &self.events else {
+            return false;
+        };
+        let is_empty = !self.has_received_chunk && !self.is_close_delimited;
+        !is_empty && !events.is_between_events()
     }
 
-    fn release_connection(&mut self) {
-        self.guard.record_answer();
+    /// Records that the upstream broke the response off.
+    fn abort(&mut self, error: BodyError) -> BodyError {
+        self.guard.observe(balance::Observation::TransportError);
+        self.guard.record_break();
+        self.log_abort(&error);
+        error
+    }
+
+    /// Records that the response is complete.
+    fn finish(&mut self) {
+        self.guard.record_answer(self.is_close_delimited);
         if let Some((address, conn, parts)) = self.conn.take() {
             self.guard.entry.client.pool().put(address, conn, &parts);
         }
@@ -229,22 +266,27 @@
                     body.has_received_chunk = true;
                     body.guard.observe_first_chunk();
                 }
+                if let (Some(events), Some(bytes)) = (&mut body.events, frame.data_ref()) {
+                    events.push(bytes);
+                }
                 // hyper doesn't poll again once the announced content length has arrived, so the
                 // connection returns to the pool here.
                 if body.incoming.is_end_stream() {
-                    body.release_connection();
+                    if body.ends_inside_event() {
+                        return Poll::Ready(Some(Err(body.abort(BodyError::EndedInsideEvent))));
+                    }
+                    body.finish();
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                body.guard.observe(balance::Observation::TransportError);
-                body.guard.record_break();
-                let error = BodyError::from(error);
-                body.log_abort(&error);
-                Poll::Ready(Some(Err(error)))
+                Poll::Ready(Some(Err(body.abort(BodyError::from(error)))))
+            }
+            Poll::Ready(None) if body.ends_inside_event() => {
+                Poll::Ready(Some(Err(body.abort(BodyError::EndedInsideEvent))))
             }
             Poll::Ready(None) => {
-                body.release_connection();
+                body.finish();
                 Poll::Ready(None)
             }
             Poll::Pending => {
