--- a/damaskdrift_core/tests/quarantine.rs
+++ b/damaskdrift_core/tests/quarantine.rs
@@ -206,7 +206,7 @@
         }
         let relays = 8.min(self.fleet.len());
         for instance in 0..self.fleet.len() {
-            if (now.0 + STEP_MS * instance as u64) % REPORT_MS != 0 {
+            if !(now.0 + STEP_MS * instance as u64).is_multiple_of(REPORT_MS) {
                 continue;
             }
             for (segment, _) in self.fleet[instance].update(now) {
