--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod cache_stores;
 pub mod client;
 mod clock;
+mod event_stream;
 mod follower;
 pub mod forward;
 mod leadership;
@@ -15,6 +16,7 @@
 mod platform_store;
 mod pool;
 pub mod port;
+mod quarantine;
 mod refusal;
 mod relay;
 mod retry;
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -16,7 +16,9 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::event_stream;
 use crate::entry::notices;
+use crate::entry::quarantine;
 use crate::entry::state;
 
 /// Pending prefill from which other instances are notified immediately, in tokens. Such a prefill
@@ -32,6 +34,7 @@
     request: balance::InFlightRequest,
     started_at: Millis,
     expected_first_chunk: Option<Millis>,
+    exposure: Option<quarantine::Exposure>,
 }
 
 /// Reason for which the instance aborted a response after its head was forwarded.
@@ -40,6 +43,9 @@
     /// The upstream's connection failed before the end of the body.
     #[error("upstream response truncated: {_0}")]
     Upstream(#[from] hyper::Error),
+    /// The upstream's response ended inside an event.
+    #[error("upstream response ended inside an event")]
+    EndedInsideEvent,
     /// The request's deadline passed while the body was incomplete.
     #[error("request deadline exceeded before the end of the upstream response")]
     DeadlineExceeded,
@@ -54,6 +60,8 @@
     deadline: Option<Pin<Box<tokio::time::Sleep>>>,
     has_received_chunk: bool,
     request_id: String,
+    events: Option<event_stream::EventStream>,
+    is_close_delimited: bool,
 }
 
 /// The body of a response to a caller.
@@ -86,7 +94,15 @@
         }
         let entry = entry.clone();
         let upstream = upstream.clone();
-        Self { entry, upstream, incarnation, request, started_at, expected_first_chunk }
+        Self {
+            entry,
+            upstream,
+            incarnation,
+            request,
+            started_at,
+            expected_first_chunk,
+            exposure: None,
+        }
     }
 
     /// Returns the incarnation of the upstream that the request was sent to.
@@ -94,6 +110,26 @@
         notices::Recipient { id: &self.upstream, incarnation: self.incarnation }
     }
 
+    /// Sets the segments that are evidence if the upstream ends during the request.
+    pub fn with_exposure(mut self, exposure: Option<quarantine::Exposure>) -> Self {
+        self.exposure = exposure;
+        self
+    }
+
+    /// Records that the upstream's connection broke before the end of the answer.
+    pub fn record_break(&mut self) {
+        if let Some(exposure) = self.exposure.take() {
+            exposure.record_break(&self.entry);
+        }
+    }
+
+    /// Records that the answer is complete.
+    fn record_answer(&mut self, is_close_delimited: bool) {
+        if let Some(exposure) = self.exposure.take() {
+            exposure.record_answer(&self.entry, is_close_delimited);
+        }
+    }
+
     /// Records the arrival of the first chunk of the response.
     fn observe_first_chunk(&mut self) {
         let now = clock::now();
@@ -147,11 +183,43 @@
         request_id: String,
     ) -> Self {
         let deadline = deadline.map(|at| Box::pin(tokio::time::sleep_until(at)));
-        let conn = Some(conn);
-        Self { incoming, guard, conn, deadline, has_received_chunk: false, request_id }
+        let (_, _, parts) = &conn;
+        let events = event_stream::EventStream::of_response(parts);
+        let is_close_delimited = event_stream::is_close_delimited(parts);
+        Self {
+            incoming,
+            guard,
+            conn: Some(conn),
+            deadline,
+            has_received_chunk: false,
+            request_id,
+            events,
+            is_close_delimited,
+        }
     }
 
-    fn release_connection(&mut self) {
+    /// Returns whether the response would be an incomplete event stream if it ended now.
+    ///
+    /// A stream without any event is complete only if its framing says so.
+    fn ends_inside_event(&self) -> bool {
+        let Some(events) = &self.events else {
+            return false;
+        };
+        let is_empty = !self.has_received_chunk && !self.is_close_delimited;
+        !is_empty && !events.is_between_events()
+    }
+
+    /// Records that the upstream broke the response off.
+    fn abort(&mut self, error: BodyError) -> BodyError {
+        self.guard.observe(balance::Observation::TransportError);
+        self.guard.record_break();
+        self.log_abort(&error);
+        error
+    }
+
+    /// Records that the response is complete.
+    fn finish(&mut self) {
+        self.guard.record_answer(self.is_close_delimited);
         if let Some((address, conn, parts)) = self.conn.take() {
             self.guard.entry.client.pool().put(address, conn, &parts);
         }
@@ -191,25 +259,34 @@
         match Pin::new(&mut body.incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 body.guard.record_contact();
+                if let Some(exposure) = &mut body.guard.exposure {
+                    exposure.record_chunk();
+                }
                 if !body.has_received_chunk {
                     body.has_received_chunk = true;
                     body.guard.observe_first_chunk();
                 }
+                if let (Some(events), Some(bytes)) = (&mut body.events, frame.data_ref()) {
+                    events.push(bytes);
+                }
                 // hyper doesn't poll again once the announced content length has arrived, so the
                 // connection returns to the pool here.
                 if body.incoming.is_end_stream() {
-                    body.release_connection();
+                    if body.ends_inside_event() {
+                        return Poll::Ready(Some(Err(body.abort(BodyError::EndedInsideEvent))));
+                    }
+                    body.finish();
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                body.guard.observe(balance::Observation::TransportError);
-                let error = BodyError::from(error);
-                body.log_abort(&error);
-                Poll::Ready(Some(Err(error)))
+                Poll::Ready(Some(Err(body.abort(BodyError::from(error)))))
+            }
+            Poll::Ready(None) if body.ends_inside_event() => {
+                Poll::Ready(Some(Err(body.abort(BodyError::EndedInsideEvent))))
             }
             Poll::Ready(None) => {
-                body.release_connection();
+                body.finish();
                 Poll::Ready(None)
             }
             Poll::Pending => {
