--- a/damaskdrift_core/tests/restarts.rs
+++ b/damaskdrift_core/tests/restarts.rs
@@ -1,5 +1,7 @@
 //! Tests of the fleet-wide limit on retries while instances are killed and restarted.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic like tests")]
+
 use damaskdrift_core::retry;
 use damaskdrift_core::time::Millis;
 use rstest::rstest;
