Drive rollouts of software versions ordered by operators

Callers saw: a new version of the model servers answered several times slower, got a fifth of all requests and was kept (rule EXPOSURE).

Cause: op/rollout was read by no code of the entry instance, both versions were chosen alike and no status was written.

Change: orders and statuses are decoded; the new version gets at most four fifths of the exposure limit until evidence of the whole fleet allows more; each instance tests the evidence and vetoes on its own; the leader writes the status under its fencing token.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -10,6 +10,7 @@
 use damaskdrift_core::id;
 use damaskdrift_core::membership;
 use damaskdrift_core::prefix_cache;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use hyper::Response;
@@ -22,6 +23,7 @@
 use crate::entry::port;
 use crate::entry::refusal;
 use crate::entry::relay;
+use crate::entry::rollouts;
 use crate::entry::state;
 
 /// Minimum time before the deadline for another attempt.
@@ -280,6 +282,7 @@
             segments: &segments,
             fetch_time,
             tried: &self.tried,
+            software: rollout::Selection::Any,
         };
         let out_of_service = self.entry.out_of_service.borrow();
         let registered = self.entry.registered_instances();
@@ -292,6 +295,9 @@
             is_load_delayed: self.entry.layout().role != membership::Role::Mesh,
         };
         let upstreams = self.entry.upstreams.borrow();
-        upstreams.choose(&requirements, &cx, now, &mut *self.entry.rng.borrow_mut())
+        rollouts::choose(self.entry, &self.service.id, |software| {
+            let requirements = balance::Requirements { software, ..requirements };
+            upstreams.choose(&requirements, &cx, now, &mut *self.entry.rng.borrow_mut())
+        })
     }
 }
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -11,6 +11,7 @@
 use damaskdrift_core::config_sync;
 use damaskdrift_core::id;
 use damaskdrift_core::prefix_cache;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -26,6 +27,7 @@
 use crate::entry::pool;
 use crate::entry::port;
 use crate::entry::relay;
+use crate::entry::rollouts;
 
 /// Time without a response head from which an attempt may be given up in favour of another one, in
 /// percent of the route's target latency.
@@ -84,6 +86,9 @@
         if self.target(id).is_none() {
             return job::Outcome::NotSent("the upstream has begun to leave".to_owned());
         }
+        if !rollouts::may_send(self.entry, id) {
+            return job::Outcome::NotSent("the software version may get no request".to_owned());
+        }
         let now = clock::now();
         let (req, plan_summary) = self.encode(id, model_version);
         if self.attempts == 0 {
@@ -94,7 +99,9 @@
         let in_flight = balance::InFlightRequest { tokens, pending_prefill };
         let expected = self.head.prompt.as_ref();
         let expected = expected.map(|_| balance::expected_first_chunk(pending_prefill));
-        let guard = relay::RequestGuard::new(self.entry, id, in_flight, expected);
+        let ticket = rollouts::Ticket::new(self.entry, id, &self.route.name, expected);
+        let mut guard =
+            relay::RequestGuard::new(self.entry, id, in_flight, expected).with_ticket(ticket);
         let response = match self.exchange(id, &mut conn, req).await {
             Ok(Ok(response)) => response,
             Ok(Err(client::Failure::NotSent(reason))) => return job::Outcome::NotSent(reason),
@@ -108,6 +115,7 @@
                 if self.is_overdue(id, waited) {
                     guard.observe(balance::Observation::TransportError);
                 }
+                guard.end_ticket(rollout::Outcome::Failed);
                 let reason = format!("no answer within {} ms", waited.0);
                 return job::Outcome::Unknown(code::Code::UpstreamTimeout, reason);
             }
@@ -154,7 +162,7 @@
         id: &id::Upstream,
         response: Response<Incoming>,
         conn: (net::SocketAddr, client::Conn),
-        guard: relay::RequestGuard,
+        mut guard: relay::RequestGuard,
         plan_summary: &'static str,
     ) -> job::Outcome {
         let (parts, incoming) = response.into_parts();
@@ -163,6 +171,7 @@
             port::ResponseCheck::Valid => {}
             port::ResponseCheck::NotRun => {
                 let status = parts.status;
+                guard.end_ticket(rollout::Outcome::Failed);
                 self.avoid(id);
                 self.discard_body(conn, parts, incoming);
                 return job::Outcome::NotRun(format!("not run by the upstream, status {status}"));
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod relay;
 mod retry;
+mod rollouts;
 mod run;
 mod settings;
 mod state;
--- a/damaskdrift/src/entry/peers/mod.rs
+++ b/damaskdrift/src/entry/peers/mod.rs
@@ -3,6 +3,8 @@
 mod link;
 mod report;
 
+pub use report::counts;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -6,6 +6,7 @@
 use damaskdrift_core::time::Millis;
 
 use crate::entry::clock;
+use crate::entry::rollouts;
 use crate::entry::state;
 use crate::peer::message;
 
@@ -82,6 +83,7 @@
         contacts,
         weights,
         loading,
+        rollouts: rollouts::reports(entry, |reporter| includes(Some(reporter))),
     })
 }
 
@@ -110,6 +112,7 @@
     if !counts(&reporter, role) {
         return;
     }
+    rollouts::apply_reports(entry, &reporter, &report.rollouts);
     let mut loads = Vec::with_capacity(report.upstreams.len());
     let mut contacts = report.contacts.into_iter();
     for (upstream, in_flight, tokens, pending_prefill) in report.upstreams {
@@ -125,7 +128,7 @@
 /// Returns whether a report counts for an instance with this role.
 ///
 /// The sums that relays report already include single instances and must not be added to theirs.
-fn counts(reporter: &balance::Reporter, role: membership::Role) -> bool {
+pub fn counts(reporter: &balance::Reporter, role: membership::Role) -> bool {
     match reporter {
         balance::Reporter::Instance(_) => role != membership::Role::Leaf,
         balance::Reporter::Domain(_) => role == membership::Role::Relay,
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -246,6 +246,7 @@
     upstreams: BTreeSet<id::Upstream>,
     instances: BTreeSet<id::Instance>,
     out_of_service: BTreeSet<id::FailureDomain>,
+    rollouts: BTreeSet<id::Service>,
     has_leader: bool,
 }
 
@@ -277,6 +278,17 @@
                     out_of_service.remove(&domain);
                 }
             }
+            port::Change::RolloutOrder(service, order) => {
+                if order.is_some() {
+                    listed.rollouts.insert(service.clone());
+                }
+                let mut rollouts = entry.rollouts.borrow_mut();
+                let rng = &mut *entry.rng.borrow_mut();
+                rollouts.set_order(service, order, clock::now(), rng);
+            }
+            port::Change::RolloutStatus(service, status) => {
+                entry.rollouts.borrow_mut().set_status(service, status, clock::now());
+            }
             port::Change::Instance(instance, registration) => {
                 if registration.is_some() {
                     listed.instances.insert(instance.clone());
@@ -309,6 +321,7 @@
     }
     entry.set_instances(&listed.instances);
     entry.out_of_service.borrow_mut().retain(|domain| listed.out_of_service.contains(domain));
+    entry.rollouts.borrow_mut().retain_orders(|service| listed.rollouts.contains(service));
     if !listed.has_leader {
         *entry.leader.borrow_mut() = None;
     }
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -7,6 +7,7 @@
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
 use damaskdrift_core::prefix_cache;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use futures_util::future::LocalBoxFuture;
@@ -115,6 +116,10 @@
     TargetWeights(balance::Weights),
     /// Operators took a failure domain out of service (`true`) or returned it to service (`false`).
     DomainOutOfService(id::FailureDomain, bool),
+    /// Operators ordered a rollout of a service's software, or removed the order (`None`).
+    RolloutOrder(id::Service, Option<rollout::Order>),
+    /// The status of a rollout was written or removed (`None`).
+    RolloutStatus(id::Service, Option<rollout::Status>),
     /// An instance registered, or its registration ended (`None`).
     Instance(id::Instance, Option<Registration>),
     /// An instance became leader under a fencing token, or there is no leader (`None`).
@@ -273,6 +278,18 @@
         lease: u64,
     ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
 
+    /// Writes the status of a rollout and returns the revision of the write.
+    ///
+    /// Returns `None` if the status in the store no longer has the revision `known`, which is 0 if
+    /// there was none, or if another leader has claimed leadership since.
+    fn put_rollout_status<'a>(
+        &'a self,
+        service: &'a id::Service,
+        status: &'a rollout::Status,
+        known: u64,
+        fence: id::FencingToken,
+    ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
+
     /// Requests the status report of a model engine.
     fn engine_report(
         &self,
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::time::Millis;
 use http_body_util::Full;
 use hyper::body::{Frame, Incoming, SizeHint};
@@ -16,6 +17,7 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::rollouts;
 use crate::entry::state;
 
 /// Pending prefill from which other instances are notified immediately, in tokens. Such a prefill
@@ -30,6 +32,8 @@
     request: balance::InFlightRequest,
     started_at: Millis,
     expected_first_chunk: Option<Millis>,
+    /// The request as evidence on a rollout, if one is running.
+    ticket: Option<rollouts::Ticket>,
 }
 
 /// Reason for which the instance aborted a response after its head was forwarded.
@@ -82,7 +86,21 @@
             entry.report_due.notify_one();
         }
         let entry = entry.clone();
-        Self { entry, upstream: upstream.clone(), request, started_at, expected_first_chunk }
+        let upstream = upstream.clone();
+        Self { entry, upstream, request, started_at, expected_first_chunk, ticket: None }
+    }
+
+    /// Sets the request as evidence on a rollout.
+    pub fn with_ticket(mut self, ticket: Option<rollouts::Ticket>) -> Self {
+        self.ticket = ticket;
+        self
+    }
+
+    /// Records the end of the request as evidence on a rollout.
+    pub fn end_ticket(&mut self, outcome: rollout::Outcome) {
+        if let Some(mut ticket) = self.ticket.take() {
+            ticket.end(outcome);
+        }
     }
 
     /// Records the arrival of the first chunk of the response.
@@ -110,7 +128,10 @@
     }
 
     /// Updates the upstream's health from the result of this request.
-    pub fn observe(&self, observation: balance::Observation) {
+    pub fn observe(&mut self, observation: balance::Observation) {
+        if observation != balance::Observation::Success {
+            self.end_ticket(rollout::Outcome::Failed);
+        }
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
             upstream.health.observe(observation, clock::now());
         }
@@ -143,6 +164,7 @@
     }
 
     fn release_connection(&mut self) {
+        self.guard.end_ticket(rollout::Outcome::Answered);
         if let Some((address, conn, parts)) = self.conn.take() {
             self.guard.entry.client.pool().put(address, conn, &parts);
         }
@@ -182,6 +204,9 @@
         match Pin::new(&mut body.incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 body.guard.record_contact();
+                if let Some(ticket) = &body.guard.ticket {
+                    ticket.record_chunk();
+                }
                 if !body.has_received_chunk {
                     body.has_received_chunk = true;
                     body.guard.observe_first_chunk();
@@ -211,6 +236,7 @@
                     return Poll::Pending;
                 }
                 body.deadline = None;
+                body.guard.end_ticket(rollout::Outcome::Failed);
                 let error = BodyError::DeadlineExceeded;
                 body.log_abort(&error);
                 Poll::Ready(Some(Err(error)))
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -21,6 +21,7 @@
 use crate::entry::peers;
 use crate::entry::platform_store;
 use crate::entry::port;
+use crate::entry::rollouts;
 use crate::entry::settings;
 use crate::entry::state;
 use crate::entry::weights;
@@ -81,6 +82,7 @@
     task::spawn_local(platform_store::run(entry.clone(), changes));
     task::spawn_local(cache_stores::run(entry.clone()));
     task::spawn_local(observe::run(entry.clone()));
+    task::spawn_local(rollouts::run(entry.clone()));
     let registration = task::spawn_local(leadership::register(entry.clone()));
     let weights = task::spawn_local(weights::run(entry.clone()));
     tokio::select! {
--- a/damaskdrift/src/entry/settings.rs
+++ b/damaskdrift/src/entry/settings.rs
@@ -4,6 +4,7 @@
 
 use damaskdrift_core::id;
 use damaskdrift_core::retry;
+use damaskdrift_core::rollout;
 use damaskdrift_core::time::Millis;
 
 /// Settings of an entry instance, fixed while it runs.
@@ -30,6 +31,8 @@
     pub revocation: Millis,
     /// Limit on retries, for all instances together.
     pub repeats: retry::Bound,
+    /// Limit on requests to an unproven software version, for all instances together.
+    pub exposure: rollout::ExposureLimit,
     /// Grace period: time from the stop signal until the instance is killed.
     pub grace: Millis,
     /// Time after a new target version of a model's weights from which requests must not start on
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -21,6 +21,7 @@
 use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::retry;
+use crate::entry::rollouts;
 use crate::entry::settings;
 use crate::peer::message;
 
@@ -129,6 +130,8 @@
     pub upstream_clock_offset_ms: Cell<Option<i64>>,
     /// Windows that count attempts per service to limit retries.
     pub retry_windows: RefCell<retry::RetryWindows>,
+    /// Rollouts of software versions.
+    pub rollouts: RefCell<rollouts::Rollouts>,
     /// Current leader and its fencing token, as far as this instance knows.
     pub leader: RefCell<Option<(id::Instance, id::FencingToken)>>,
     /// Cancelled once the instance stops.
@@ -175,6 +178,7 @@
             target_versions: RefCell::default(),
             cache_stores: RefCell::default(),
             upstream_clock_offset_ms: Cell::default(),
+            rollouts: RefCell::default(),
             leader: RefCell::default(),
             stopping: CancellationToken::new(),
             requests: Cell::new(0),
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -16,6 +16,7 @@
 use crate::entry::clock;
 use crate::entry::leadership;
 use crate::entry::port;
+use crate::entry::rollouts;
 use crate::entry::state;
 
 /// How often the leader checks for upstreams behind the target version.
@@ -49,6 +50,7 @@
 pub async fn run(entry: Rc<state::Entry>) {
     let mut lease: Option<leadership::HeldLease> = None;
     let mut rollout = Rollout::default();
+    let mut driver = rollouts::Driver::default();
     let mut next_claim = clock::now();
     while !entry.stopping.is_cancelled() {
         let now = clock::now();
@@ -62,6 +64,7 @@
             next_claim = clock::now() + wait;
         }
         if let Some(held) = &lease {
+            driver.tick(&entry, held).await;
             let now = clock::now();
             let may_order = now.since(held.claimed_at) >= entry.settings.turn;
             if may_order && held.is_valid(now) && !rollout.tick(&entry, held).await {
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -6,6 +6,7 @@
 use damaskdrift_core::admission;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::time::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -146,6 +147,26 @@
     /// Upstreams that are loading weights, and milliseconds for which to keep avoiding them.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub loading: Vec<(String, u64)>,
+    /// Evidence on running rollouts of software versions.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutEvidence>,
+}
+
+/// Evidence on the rollout of a service's software version.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RolloutEvidence {
+    /// Service that the rollout is of.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Store revision of the order.
+    #[serde(rename = "r")]
+    pub revision: u64,
+    /// Milliseconds since the order was learned.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Counts since the order.
+    #[serde(rename = "e")]
+    pub evidence: rollout::Evidence,
 }
 
 /// Handshake message with which an instance identifies itself.
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -9,6 +9,7 @@
 use crate::balance::upstream;
 use crate::id;
 use crate::prefix_cache;
+use crate::rollout;
 use crate::routing;
 use crate::time::Millis;
 
@@ -55,7 +56,7 @@
 const JITTER_MS: f64 = 1.0;
 
 /// Requirements of a request on its upstream.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Requirements<'a> {
     /// The service whose upstreams may serve the request.
     pub service: &'a routing::Service,
@@ -75,6 +76,8 @@
     pub fetch_time: Option<Millis>,
     /// Upstreams to which this request has already been sent.
     pub tried: &'a [id::Upstream],
+    /// Upstreams that may serve the request, by the version of their software.
+    pub software: rollout::Selection<'a>,
 }
 
 /// The reason why no upstream can take a request.
@@ -142,6 +145,7 @@
         let candidates: Vec<_> = self
             .iter()
             .filter(|u| u.record.service == req.service.id)
+            .filter(|u| req.software.includes(&u.record.software))
             .filter(|u| !u.record.is_draining && !cx.out_of_service.contains(&u.record.domain))
             .collect();
         let mean_failure_rate = candidates.iter().map(|u| u.health.failure_rate()).sum::<f64>()
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -38,6 +38,8 @@
     pub address: net::SocketAddr,
     /// The failure domain in which the upstream runs.
     pub domain: id::FailureDomain,
+    /// Version of the upstream's software, which rollouts move requests between.
+    pub software: id::Software,
     /// Maximum number of requests that the upstream runs concurrently.
     pub slots: u32,
     /// Whether the upstream accepts no new requests.
@@ -106,7 +108,7 @@
 }
 
 /// The source of a load report.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Reporter {
     /// One instance, for its own load.
     Instance(id::Instance),
--- a/damaskdrift_core/src/id.rs
+++ b/damaskdrift_core/src/id.rs
@@ -57,6 +57,8 @@
     Model
     /// Name of one set of weights of a model.
     Version
+    /// Version of the software that an upstream runs.
+    Software
     /// Name of a plain service, as callers give it in the path.
     Service
     /// Name of a template in the fleet document.
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -7,6 +7,7 @@
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
 use damaskdrift_core::prefix_cache;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use rand::SeedableRng as _;
@@ -30,6 +31,7 @@
         service: id::Service::new("models"),
         address: "127.0.0.1:8080".parse().unwrap(),
         domain: id::FailureDomain::new("a"),
+        software: id::Software::new("s1"),
         slots: 16,
         is_draining: false,
         cold_remaining: Millis(0),
@@ -99,6 +101,7 @@
             segments: self.segments,
             fetch_time: self.fetch_time,
             tried: &self.tried,
+            software: rollout::Selection::Any,
         };
         let cx = balance::Context {
             domain: &domain,
--- a/damaskdrift_core/tests/contact.rs
+++ b/damaskdrift_core/tests/contact.rs
@@ -6,6 +6,7 @@
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use rand::{RngExt as _, SeedableRng as _};
@@ -20,6 +21,7 @@
         service: id::Service::new("models"),
         address: "127.0.0.1:8080".parse().unwrap(),
         domain: id::FailureDomain::new("a"),
+        software: id::Software::new("s1"),
         slots: 12,
         is_draining: false,
         cold_remaining: Millis(0),
@@ -66,6 +68,7 @@
         segments: &[(session, 300)],
         fetch_time: None,
         tried: &[],
+        software: rollout::Selection::Any,
     };
     let cx = balance::Context {
         domain: &domain,
--- a/damaskdrift_core/tests/delayed_load.rs
+++ b/damaskdrift_core/tests/delayed_load.rs
@@ -6,6 +6,7 @@
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use rand::{RngExt as _, SeedableRng as _};
@@ -110,6 +111,7 @@
             segments: &[],
             fetch_time: None,
             tried: &[],
+            software: rollout::Selection::Any,
         };
         let cx = balance::Context {
             domain: &domain,
@@ -165,6 +167,7 @@
         service: id::Service::new("desk"),
         address: "127.0.0.1:8080".parse().unwrap(),
         domain: id::FailureDomain::new("a"),
+        software: id::Software::new("s1"),
         slots: u32::try_from(SLOTS).unwrap(),
         is_draining: false,
         cold_remaining: Millis(0),
