Compare the mean delays of software versions, and stop after a peer's veto

A veto is passed on in reports; a version that was taken back stays excluded when another one is ordered or the order is removed.

--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -351,6 +351,7 @@
     if before != Some((record.is_draining, record.started_at)) {
         log::info!(
             upstream:% = record.id, service:% = record.service, address:% = record.address,
+            software:% = record.software,
             is_leaving = record.is_draining, cold_ms = record.cold_remaining.0;
             "upstream listed"
         );
--- a/damaskdrift/src/entry/rollouts.rs
+++ b/damaskdrift/src/entry/rollouts.rs
@@ -50,9 +50,7 @@
         rng: &mut impl rand::Rng,
     ) {
         let Some(order) = order else {
-            if self.trials.remove(&service).is_some() {
-                log::info!(service:%; "rollout order removed");
-            }
+            self.retain_orders(|listed| *listed != service);
             return;
         };
         let known = self.trials.get(&service).map(|trial| trial.order.revision);
@@ -65,6 +63,9 @@
             "rollout ordered"
         );
         let mut trial = rollout::Trial::new(order, now, rng);
+        if let Some(previous) = self.trials.get(&service) {
+            trial = trial.with_previous(previous);
+        }
         if let Some(status) = self.statuses.get(&service) {
             trial.set_status(status.clone(), now);
         }
@@ -95,8 +96,18 @@
     }
 
     /// Removes the orders of services that a list of the platform store no longer contains.
+    ///
+    /// A version whose rollout was not completed still gets no requests: its upstreams may run on.
     pub fn retain_orders(&mut self, listed: impl Fn(&id::Service) -> bool) {
-        self.trials.retain(|service, _| listed(service));
+        self.trials.retain(|service, trial| {
+            listed(service) || trial.state() != rollout::TrialState::Completed
+        });
+        for (service, trial) in &mut self.trials {
+            if !listed(service) && trial.veto().is_none() {
+                log::warn!(service:%, target:% = trial.order.target; "rollout order removed");
+                trial.set_veto("the order was removed");
+            }
+        }
     }
 
     /// Returns the trial of a service.
@@ -131,7 +142,6 @@
             return None;
         }
         let side = trial.side(&upstream.record.software);
-        let expected = expected.unwrap_or_default();
         let serial = trial.begin(side, route, expected, upstream.is_cold(now), now);
         Some(Self { entry: entry.clone(), service: service.clone(), serial: Some(serial) })
     }
@@ -186,9 +196,9 @@
     let draw = entry.rng.borrow_mut().random_range(0.0..1.0);
     let limit = &entry.settings.exposure;
     let selection = trial.selection(limit, is_current(entry), draw);
-    match (choose(selection), selection) {
-        (Err(_), rollout::Selection::Only(target)) => choose(rollout::Selection::Except(target)),
-        (result, _) => result,
+    match choose(selection) {
+        Err(_) if selection != trial.proven() => choose(trial.proven()),
+        result => result,
     }
 }
 
@@ -205,8 +215,7 @@
     let Some(trial) = rollouts.trial(&record.service) else {
         return true;
     };
-    trial.side(&record.software) == rollout::Side::Old
-        || trial.admits_new(&entry.settings.exposure, is_current(entry), 0.0)
+    trial.may_send(&record.software, &entry.settings.exposure, is_current(entry))
 }
 
 /// Examines the evidence of all instances until the process ends.
@@ -255,6 +264,7 @@
             revision: trial.order.revision,
             age_ms: now.since(trial.ordered_at).0,
             evidence: trial.evidence(includes),
+            veto: trial.veto().map(str::to_owned),
         });
     }
     reports
@@ -275,6 +285,12 @@
         if trial.order.revision == report.revision {
             let age = Millis(report.age_ms);
             trial.set_report(reporter.clone(), age, &report.evidence, now);
+            if let Some(reason) = &report.veto
+                && trial.veto().is_none()
+            {
+                log::warn!(service = report.service, reason; "new software version vetoed by a peer");
+                trial.set_veto(reason);
+            }
         }
     }
 }
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -167,6 +167,9 @@
     /// Counts since the order.
     #[serde(rename = "e")]
     pub evidence: rollout::Evidence,
+    /// Why the sender sends nothing more to the new version.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub veto: Option<String>,
 }
 
 /// Handshake message with which an instance identifies itself.
--- a/damaskdrift_core/src/rollout/ledger.rs
+++ b/damaskdrift_core/src/rollout/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::balance::Reporter;
-use crate::rollout::{CellKey, Counts, Evidence};
+use crate::rollout::{CellKey, Counts, Evidence, LatencySum};
 
 /// Counts since the start of a rollout by key.
 type Cells = BTreeMap<CellKey, Counts>;
@@ -44,8 +44,7 @@
         Evidence::new(self.total_cells(includes))
     }
 
-    /// Returns the outcomes by which the total exceeds the highest one taken before, without
-    /// latencies.
+    /// Returns the counts by which the total exceeds the highest one taken before.
     ///
     /// The total may fall when an instance gets its reports from another relay; counts that were
     /// taken are not taken again when it rises.
@@ -56,7 +55,8 @@
             let counts = Counts {
                 succeeded: total.succeeded.saturating_sub(taken.succeeded),
                 failed: total.failed.saturating_sub(taken.failed),
-                ..Counts::default()
+                first_token: excess(total.first_token, taken.first_token),
+                between_tokens: excess(total.between_tokens, taken.between_tokens),
             };
             if counts != Counts::default() {
                 taken.merge(&counts);
@@ -77,6 +77,13 @@
     }
 }
 
+fn excess(total: LatencySum, taken: LatencySum) -> LatencySum {
+    if total.samples <= taken.samples {
+        return LatencySum::default();
+    }
+    LatencySum { samples: total.samples - taken.samples, sum_ln: total.sum_ln - taken.sum_ln }
+}
+
 fn merge(into: &mut Cells, cells: &Cells) {
     for (key, counts) in cells {
         into.entry(key.clone()).or_default().merge(counts);
--- a/damaskdrift_core/src/rollout/mod.rs
+++ b/damaskdrift_core/src/rollout/mod.rs
@@ -6,6 +6,7 @@
 mod analyzer;
 mod collector;
 mod decide;
+mod delay;
 mod evidence;
 mod exposure;
 mod ledger;
@@ -17,6 +18,7 @@
 pub use analyzer::{Analyzer, Bounds, Verdict};
 pub use collector::{COLD_REPORT_LAG, Collector, Sample};
 pub use decide::{Decision, decide};
+pub use delay::DelayComparison;
 pub use evidence::{CellKey, Counts, Evidence, LatencySum, LoadBand, Side};
 pub use exposure::{Exposure, ExposureLimit};
 pub use ledger::Ledger;
--- a/damaskdrift_core/src/rollout/trial.rs
+++ b/damaskdrift_core/src/rollout/trial.rs
@@ -8,8 +8,8 @@
 use crate::balance::Reporter;
 use crate::id;
 use crate::rollout::{
-    Analyzer, Bounds, CellKey, Counts, Evidence, Exposure, ExposureLimit, LatencySum, Ledger,
-    LoadBand, Side, Verdict,
+    Analyzer, Bounds, CellKey, Counts, DelayComparison, Evidence, Exposure, ExposureLimit,
+    LatencySum, Ledger, LoadBand, Side, Verdict,
 };
 use crate::time::Millis;
 
@@ -94,8 +94,8 @@
     Any,
     /// Upstreams with this version.
     Only(&'a id::Software),
-    /// Upstreams with another version than this one.
-    Except(&'a id::Software),
+    /// Upstreams with another version than these.
+    Except(&'a [id::Software]),
 }
 
 /// End of a request, as far as it is evidence on the version.
@@ -143,11 +143,14 @@
     /// When the order was written, as far as any instance knows, on this instance's clock.
     pub ordered_at: Millis,
     status: Option<Status>,
+    /// The target, and targets of earlier orders that were not completed.
+    unproven: Vec<id::Software>,
     /// When this instance learned of the current step.
     step_since: Millis,
     exposure: Exposure,
     ledger: Ledger,
     analyzer: Analyzer,
+    delays: DelayComparison,
     pending: BTreeMap<u64, Pending>,
     next_serial: u64,
     /// Counts and delays of the old version by route; the delay of the first chunk is scaled to
@@ -162,7 +165,7 @@
         match self {
             Self::Any => true,
             Self::Only(version) => software == *version,
-            Self::Except(version) => software != *version,
+            Self::Except(versions) => !versions.contains(software),
         }
     }
 }
@@ -171,6 +174,7 @@
     /// Creates the trial of an order that this instance learned of at `now`.
     pub fn new(order: Order, now: Millis, rng: &mut impl Rng) -> Self {
         Self {
+            unproven: vec![order.target.clone()],
             order,
             ordered_at: now,
             status: None,
@@ -178,6 +182,7 @@
             exposure: Exposure::new(rng),
             ledger: Ledger::default(),
             analyzer: Analyzer::default(),
+            delays: DelayComparison::default(),
             pending: BTreeMap::new(),
             next_serial: 0,
             reference: BTreeMap::new(),
@@ -185,6 +190,20 @@
         }
     }
 
+    /// Marks the unproven versions of the service's previous order, which this one replaces.
+    ///
+    /// Upstreams of a version that was taken back, or was still on trial, may run for some time.
+    pub fn with_previous(mut self, previous: &Self) -> Self {
+        if previous.state() != TrialState::Completed {
+            for software in &previous.unproven {
+                if !self.unproven.contains(software) {
+                    self.unproven.push(software.clone());
+                }
+            }
+        }
+        self
+    }
+
     /// Applies a status from the store, unless it belongs to an earlier order.
     pub fn set_status(&mut self, status: Status, now: Millis) {
         let is_current = self.status.as_ref().is_none_or(|s| s.revision <= status.revision);
@@ -222,6 +241,11 @@
         self.veto.as_deref()
     }
 
+    /// Applies the veto of another instance. Instances see the same evidence, but not at once.
+    pub fn set_veto(&mut self, reason: &str) {
+        self.veto.get_or_insert_with(|| reason.to_owned());
+    }
+
     /// Returns the side that serves upstreams with this software.
     pub fn side(&self, software: &id::Software) -> Side {
         if *software == self.order.target { Side::New } else { Side::Old }
@@ -249,18 +273,35 @@
         if self.admits_new(limit, is_current, draw) {
             Selection::Only(&self.order.target)
         } else {
-            Selection::Except(&self.order.target)
+            self.proven()
         }
     }
 
+    /// Returns the upstreams whose versions need no further evidence.
+    pub fn proven(&self) -> Selection<'_> {
+        Selection::Except(&self.unproven)
+    }
+
+    /// Returns whether a request may be sent to an upstream with this software now.
+    pub fn may_send(
+        &self,
+        software: &id::Software,
+        limit: &ExposureLimit,
+        is_current: bool,
+    ) -> bool {
+        self.proven().includes(software)
+            || *software == self.order.target && self.admits_new(limit, is_current, 0.0)
+    }
+
     /// Counts a request that is sent, and returns the number under which its end is reported.
     ///
-    /// `expected` is the time until the first chunk of an idle upstream's response.
+    /// `expected` is the time until the first chunk of an idle upstream's response, if it depends
+    /// on the request.
     pub fn begin(
         &mut self,
         side: Side,
         route: &Arc<str>,
-        expected: Millis,
+        expected: Option<Millis>,
         is_cold: bool,
         now: Millis,
     ) -> u64 {
@@ -271,7 +312,7 @@
         let pending = Pending {
             key,
             sent_at: now,
-            expected,
+            expected: expected.unwrap_or(REFERENCE_DELAY),
             is_cold,
             first_chunk_at: None,
             last_chunk_at: now,
@@ -338,16 +379,17 @@
         }
         let evidence = self.ledger.take_new(includes);
         if !evidence.is_empty() {
+            self.delays.add(&evidence);
             self.analyzer.add(now, &for_test(evidence));
         }
         if self.veto.is_some() || self.state() != TrialState::Running {
             return false;
         }
-        if let Verdict::Bad { reason } = self.analyzer.verdict(now, Bounds::VETO) {
-            self.veto = Some(reason);
-            return true;
-        }
-        false
+        self.veto = match self.analyzer.verdict(now, Bounds::VETO) {
+            Verdict::Bad { reason } => Some(reason),
+            Verdict::Good { .. } | Verdict::Insufficient { .. } => self.delays.slow_reason(),
+        };
+        self.veto.is_some()
     }
 
     /// Decides what the driver writes next. `old_running` is the number of requests that old
@@ -360,15 +402,14 @@
         let budget = self.order.duration;
         let at = |fraction: f64| Millis((budget.0 as f64 * fraction) as u64);
         let step = self.step();
-        let growth = if step == 0 { FIRST_GROWTH_LLR } else { GROWTH_LLR };
+        let (growth, latest) =
+            if step == 0 { (FIRST_GROWTH_LLR, RAMP_LATEST_FRACTION) } else { (GROWTH_LLR, 1.0) };
         let verdict = self.analyzer.verdict(now, Bounds::new(growth, false));
         let requests = match verdict {
             Verdict::Bad { reason } => return TrialDecision::RollBack(reason),
             Verdict::Good { requests } => requests,
-            verdict @ Verdict::Insufficient { .. }
-                if step == 0 && age >= at(RAMP_LATEST_FRACTION) =>
-            {
-                return TrialDecision::RollBack(format!("{verdict} at the latest start of growth"));
+            verdict @ Verdict::Insufficient { .. } if age >= at(latest) => {
+                return TrialDecision::RollBack(format!("{verdict}, {age} after the order"));
             }
             verdict @ Verdict::Insufficient { .. } => {
                 return TrialDecision::Hold(verdict.to_string());
@@ -377,7 +418,8 @@
         let dwell = at(RAMP_DWELL_FRACTION).max(RAMP_MIN_DWELL);
         let stayed = now.since(self.step_since);
         let share = RAMP_PERCENTS[step];
-        let reason = format!("{requests} requests at this share show no fault");
+        let delays = self.delays.summary();
+        let reason = format!("{requests} requests at this share show no fault; {delays}");
         if step == 0 && age < at(RAMP_START_FRACTION) {
             return TrialDecision::Hold(format!("{age} of {budget} since the order"));
         }
@@ -406,9 +448,9 @@
             return false;
         };
         let Some(first_chunk_at) = pending.first_chunk_at else {
-            return exceeds(pending.scaled(now), usual.first_token, SLOW_FIRST_CHUNK);
+            return pending.is_late(now, usual.first_token);
         };
-        if exceeds(pending.scaled(first_chunk_at), usual.first_token, SLOW_FIRST_CHUNK) {
+        if pending.is_late(first_chunk_at, usual.first_token) {
             return true;
         }
         // The next chunk of an incomplete response arrives now at the earliest.
@@ -416,7 +458,8 @@
             true => (pending.last_chunk_at, pending.chunks.saturating_sub(1)),
             false => (now, pending.chunks),
         };
-        gaps > 0 && exceeds(mean_gap(first_chunk_at, until, gaps), usual.between_tokens, SLOW_GAP)
+        let gap = mean_gap(first_chunk_at, until, gaps);
+        gaps > 0 && exceeds(gap, usual.between_tokens, 1.0, SLOW_GAP)
     }
 
     fn record(&mut self, pending: &Pending, has_failed: bool) {
@@ -441,6 +484,12 @@
 }
 
 impl Pending {
+    /// Returns whether a first chunk at a time is late, given the scaled delays of others.
+    fn is_late(&self, at: Millis, usual: LatencySum) -> bool {
+        let scale = self.expected.0.max(1) as f64 / REFERENCE_DELAY.0 as f64;
+        exceeds(at.since(self.sent_at), usual, scale, SLOW_FIRST_CHUNK)
+    }
+
     /// Returns the delay until a time, scaled to a request with [`REFERENCE_DELAY`].
     fn scaled(&self, at: Millis) -> Millis {
         Millis(at.since(self.sent_at).0 * REFERENCE_DELAY.0 / self.expected.0.max(1))
@@ -452,9 +501,9 @@
     Millis(last.since(first).0 / u64::from(gaps.max(1)))
 }
 
-/// Returns whether a delay is more than `factor` times the mean of the given ones.
-fn exceeds(delay: Millis, usual: LatencySum, factor: f64) -> bool {
-    let mean = usual.mean_ln().exp();
+/// Returns whether a delay is more than `factor` times the mean of the given ones times `scale`.
+fn exceeds(delay: Millis, usual: LatencySum, scale: f64, factor: f64) -> bool {
+    let mean = usual.mean_ln().exp() * scale;
     usual.samples >= MIN_REFERENCE_SAMPLES
         && delay.0 as f64 > (mean * factor).max(mean + SLOW_MARGIN.0 as f64)
 }
--- a/damaskdrift_core/tests/trial.rs
+++ b/damaskdrift_core/tests/trial.rs
@@ -170,7 +170,7 @@
             let factor = if is_slow { version.factor } else { 1 } * if is_cold { 3 } else { 1 };
             let spread: f64 = rng.random_range(0.7..1.5);
             let gap = Millis((40.0 * spread) as u64 * factor);
-            let serial = fleet[index].begin(side, &route, Millis(25), is_cold, now);
+            let serial = fleet[index].begin(side, &route, Some(Millis(25)), is_cold, now);
             let first = now + Millis(60 + 30 * factor);
             let chunks = vec![first, first + gap, first + gap + gap];
             let outcome = if has_failed { Outcome::Failed } else { Outcome::Answered };
@@ -227,6 +227,7 @@
         Version { failing: 0.0, slow: 0.5, factor: 5, bad_from: Millis(0) },
         Version { failing: 0.0, slow: 1.0, factor: 3, bad_from: Millis(0) },
         Version { failing: 0.0, slow: 0.25, factor: 8, bad_from: Millis(0) },
+        Version { failing: 0.0, slow: 1.0, factor: 2, bad_from: Millis(0) },
         Version { failing: 0.3, slow: 0.0, factor: 1, bad_from: Millis(0) },
         Version { failing: 0.0, slow: 0.5, factor: 5, bad_from: Millis(6_000) },
         Version { failing: 0.5, slow: 0.0, factor: 1, bad_from: Millis(8_000) }
@@ -275,7 +276,7 @@
     let mut rng = rng(1);
     let mut trial = Trial::new(order(5), Millis(0), &mut rng);
     for _ in 0..100 {
-        trial.begin(Side::Old, &Arc::from("r"), Millis(0), false, Millis(0));
+        trial.begin(Side::Old, &Arc::from("r"), None, false, Millis(0));
     }
     let target = id::Software::new("v2");
     assert!(trial.admits_new(&LIMIT, true, 0.9));
@@ -283,7 +284,10 @@
     trial.set_status(status(TrialState::Running, 2, 6), Millis(0));
     assert!(trial.admits_new(&LIMIT, true, 0.4) && !trial.admits_new(&LIMIT, false, 0.4));
     trial.set_status(status(TrialState::RolledBack, 0, 7), Millis(0));
-    assert_eq!(trial.selection(&LIMIT, true, 0.0), Selection::Except(&target));
+    assert_eq!(
+        trial.selection(&LIMIT, true, 0.0),
+        Selection::Except(std::slice::from_ref(&target))
+    );
     // A status of an earlier order does not apply to a later one, which tries the version again.
     trial.set_status(status(TrialState::Running, 0, 6), Millis(0));
     assert_eq!(trial.state(), TrialState::RolledBack);
@@ -293,3 +297,20 @@
     again.set_status(status(TrialState::Completed, 0, 10), Millis(0));
     assert_eq!(again.selection(&LIMIT, false, 1.0), Selection::Only(&target));
 }
+
+/// Guards against requests to a version that was taken back when another one is ordered while its
+/// upstreams still run.
+#[test]
+fn version_taken_back_stays_excluded_under_the_next_order() {
+    let mut rng = rng(1);
+    let mut first = Trial::new(order(1), Millis(0), &mut rng);
+    first.set_status(status(TrialState::RolledBack, 0, 2), Millis(0));
+    let target = id::Software::new("v3");
+    let next = Order { target: target.clone(), revision: 3, ..order(3) };
+    let second = Trial::new(next, Millis(0), &mut rng).with_previous(&first);
+    for (software, is_included) in [("v1", true), ("v2", false), ("v3", false)] {
+        let software = id::Software::new(software);
+        assert_eq!(second.proven().includes(&software), is_included, "{software}");
+        assert_eq!(second.may_send(&software, &LIMIT, false), is_included, "{software}");
+    }
+}
