--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -11,6 +11,7 @@
 use damaskdrift_core::config_sync;
 use damaskdrift_core::id;
 use damaskdrift_core::prefix_cache;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -28,6 +29,7 @@
 use crate::entry::port;
 use crate::entry::quarantine;
 use crate::entry::relay;
+use crate::entry::rollouts;
 
 /// Time without a response head from which an attempt may be given up in favour of another one, in
 /// percent of the route's target latency.
@@ -90,6 +92,9 @@
         if let Some(refusal) = self.entry.quarantine.check(&self.shared_segments) {
             return job::Outcome::Refused(refusal);
         }
+        if !rollouts::may_send(self.entry, id) {
+            return job::Outcome::NotSent("the software version may get no request".to_owned());
+        }
         let now = clock::now();
         let (req, plan_summary) = self.encode(id, model_version);
         if self.attempts == 0 {
@@ -100,7 +105,9 @@
         let in_flight = balance::InFlightRequest { tokens, pending_prefill };
         let expected = self.head.prompt.as_ref();
         let expected = expected.map(|_| balance::expected_first_chunk(pending_prefill));
-        let mut guard = relay::RequestGuard::new(self.entry, id, in_flight, expected);
+        let ticket = rollouts::Ticket::new(self.entry, id, &self.route.name, expected);
+        let mut guard =
+            relay::RequestGuard::new(self.entry, id, in_flight, expected).with_ticket(ticket);
         if !self.shared_segments.is_empty() {
             let segments = &self.shared_segments;
             let exposure = quarantine::Exposure::new(self.entry, id, &self.head.id, segments);
@@ -126,6 +133,7 @@
                 if self.is_overdue(id, waited) {
                     guard.observe(balance::Observation::TransportError);
                 }
+                guard.end_ticket(rollout::Outcome::Failed);
                 let reason = format!("no answer within {} ms", waited.0);
                 return job::Outcome::Unknown(code::Code::UpstreamTimeout, reason);
             }
@@ -172,7 +180,7 @@
         id: &id::Upstream,
         response: Response<Incoming>,
         conn: (net::SocketAddr, client::Conn),
-        guard: relay::RequestGuard,
+        mut guard: relay::RequestGuard,
         plan_summary: &'static str,
     ) -> job::Outcome {
         let (parts, incoming) = response.into_parts();
@@ -185,6 +193,7 @@
             port::ResponseCheck::Valid => {}
             port::ResponseCheck::NotRun => {
                 let status = parts.status;
+                guard.end_ticket(rollout::Outcome::Failed);
                 self.avoid(id);
                 self.discard_body(conn, parts, incoming);
                 return job::Outcome::NotRun(format!("not run by the upstream, status {status}"));
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod refusal;
 mod relay;
 mod retry;
+mod rollouts;
 mod run;
 mod settings;
 mod state;
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -264,6 +264,7 @@
     upstreams: BTreeSet<id::Upstream>,
     instances: BTreeSet<id::Instance>,
     out_of_service: BTreeSet<id::FailureDomain>,
+    rollouts: BTreeSet<id::Service>,
     has_leader: bool,
 }
 
@@ -311,6 +312,17 @@
                     out_of_service.remove(&domain);
                 }
             }
+            port::Change::RolloutOrder(service, order) => {
+                if order.is_some() {
+                    listed.rollouts.insert(service.clone());
+                }
+                let mut rollouts = entry.rollouts.borrow_mut();
+                let rng = &mut *entry.rng.borrow_mut();
+                rollouts.set_order(service, order, clock::now(), rng);
+            }
+            port::Change::RolloutStatus(service, status) => {
+                entry.rollouts.borrow_mut().set_status(service, status, clock::now());
+            }
             port::Change::Instance(instance, registration) => {
                 if registration.is_some() {
                     listed.instances.insert(instance.clone());
@@ -341,6 +353,7 @@
     }
     entry.set_instances(&listed.instances);
     entry.out_of_service.borrow_mut().retain(|domain| listed.out_of_service.contains(domain));
+    entry.rollouts.borrow_mut().retain_orders(|service| listed.rollouts.contains(service));
     if !listed.has_leader {
         *entry.leader.borrow_mut() = None;
     }
@@ -370,6 +383,7 @@
     if before != Some((record.is_draining, record.started_at)) {
         log::info!(
             upstream:% = record.id, service:% = record.service, address:% = record.address,
+            software:% = record.software,
             is_leaving = record.is_draining, cold_ms = record.cold_remaining.0;
             "upstream listed"
         );
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::time::Millis;
 use http_body_util::Full;
 use hyper::body::{Frame, Incoming, SizeHint};
@@ -19,6 +20,7 @@
 use crate::entry::event_stream;
 use crate::entry::notices;
 use crate::entry::quarantine;
+use crate::entry::rollouts;
 use crate::entry::state;
 
 /// Pending prefill from which other instances are notified immediately, in tokens. Such a prefill
@@ -35,6 +37,8 @@
     started_at: Millis,
     expected_first_chunk: Option<Millis>,
     exposure: Option<quarantine::Exposure>,
+    /// The request as evidence on a rollout, if one is running.
+    ticket: Option<rollouts::Ticket>,
 }
 
 /// Reason for which the instance aborted a response after its head was forwarded.
@@ -102,6 +106,7 @@
             started_at,
             expected_first_chunk,
             exposure: None,
+            ticket: None,
         }
     }
 
@@ -116,6 +121,12 @@
         self
     }
 
+    /// Sets the request as evidence on a rollout.
+    pub fn with_ticket(mut self, ticket: Option<rollouts::Ticket>) -> Self {
+        self.ticket = ticket;
+        self
+    }
+
     /// Records that the upstream's connection broke before the end of the answer.
     pub fn record_break(&mut self) {
         if let Some(exposure) = self.exposure.take() {
@@ -130,6 +141,13 @@
         }
     }
 
+    /// Records the end of the request as evidence on a rollout.
+    pub fn end_ticket(&mut self, outcome: rollout::Outcome) {
+        if let Some(mut ticket) = self.ticket.take() {
+            ticket.end(outcome);
+        }
+    }
+
     /// Records the arrival of the first chunk of the response.
     fn observe_first_chunk(&mut self) {
         let now = clock::now();
@@ -155,7 +173,10 @@
     }
 
     /// Updates the upstream's health from the result of this request.
-    pub fn observe(&self, observation: balance::Observation) {
+    pub fn observe(&mut self, observation: balance::Observation) {
+        if observation != balance::Observation::Success {
+            self.end_ticket(rollout::Outcome::Failed);
+        }
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
             upstream.health.observe(observation, clock::now());
         }
@@ -220,6 +241,7 @@
     /// Records that the response is complete.
     fn finish(&mut self) {
         self.guard.record_answer(self.is_close_delimited);
+        self.guard.end_ticket(rollout::Outcome::Answered);
         if let Some((address, conn, parts)) = self.conn.take() {
             self.guard.entry.client.pool().put(address, conn, &parts);
         }
@@ -262,6 +284,9 @@
                 if let Some(exposure) = &mut body.guard.exposure {
                     exposure.record_chunk();
                 }
+                if let Some(ticket) = &body.guard.ticket {
+                    ticket.record_chunk();
+                }
                 if !body.has_received_chunk {
                     body.has_received_chunk = true;
                     body.guard.observe_first_chunk();
@@ -297,6 +322,7 @@
                     return Poll::Pending;
                 }
                 body.deadline = None;
+                body.guard.end_ticket(rollout::Outcome::Failed);
                 let error = BodyError::DeadlineExceeded;
                 body.log_abort(&error);
                 Poll::Ready(Some(Err(error)))
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -16,6 +16,7 @@
 use crate::entry::leadership;
 use crate::entry::notices;
 use crate::entry::port;
+use crate::entry::rollouts;
 use crate::entry::state;
 
 /// How often the leader checks for upstreams behind the target version.
@@ -88,6 +89,7 @@
 pub async fn run(entry: Rc<state::Entry>) {
     let mut lease: Option<leadership::HeldLease> = None;
     let mut rollout = Rollout::default();
+    let mut driver = rollouts::Driver::default();
     let mut next_claim = clock::now();
     while !entry.stopping.is_cancelled() {
         let now = clock::now();
@@ -105,6 +107,7 @@
             rollout = Rollout::default();
         }
         if let Some(held) = lease {
+            driver.tick(&entry, &held).await;
             let now = clock::now();
             let may_order = now.since(held.claimed_at) >= entry.settings.turn;
             if may_order && held.is_valid(now) && !rollout.tick(&entry, held) {
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -6,6 +6,7 @@
 use damaskdrift_core::admission;
 use damaskdrift_core::fleet;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::time::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -191,6 +192,29 @@
     /// of them is due.
     #[serde(rename = "pq", default, skip_serializing_if = "Option::is_none")]
     pub quarantine: Option<Quarantine>,
+    /// Evidence on running rollouts of software versions.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutEvidence>,
+}
+
+/// Evidence on the rollout of a service's software version.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RolloutEvidence {
+    /// Service that the rollout is of.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Store revision of the order.
+    #[serde(rename = "r")]
+    pub revision: u64,
+    /// Milliseconds since the order was learned.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Counts since the order.
+    #[serde(rename = "e")]
+    pub evidence: rollout::Evidence,
+    /// Why the sender sends nothing more to the new version.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub veto: Option<String>,
 }
 
 /// What upstreams recently said about themselves in responses.
--- a/damaskdrift_core/tests/notice.rs
+++ b/damaskdrift_core/tests/notice.rs
@@ -6,6 +6,7 @@
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use rand::{RngExt as _, SeedableRng as _};
@@ -28,6 +29,7 @@
     balance::Record {
         id: id::Upstream::new(&format!("u{index}")),
         service: id::Service::new("svc"),
+        software: id::Software::new("s1"),
         address: ([127, 0, 0, 1], port).into(),
         domain: id::FailureDomain::new("a"),
         slots: 16,
@@ -96,6 +98,7 @@
         service: &service,
         model: None,
         old_weights_limit: Millis(0),
+        software: rollout::Selection::Any,
         isolated_workspace: None,
         tokens: 0,
         segments: &[],
