Reserve the share of the retry limit that an instance used before a restart

An instance may use four fifths of its share of a window within a second. If it is then killed, the retries still count for the rule, but the instance starts with an empty window: it gets the slack again, and the ratio for all further requests of that window. The four fifths leave too little for that.

In its first window an instance uses a tenth of its share. With the eleven buckets of a window (0.88 of the share) that keeps the rule for two restarts in a window, and callers of a new instance still get retries for single failures. Instances older than a window are not affected.

Not covered: instances that end for good and leave their requests to others, which then get the ratio for requests of the same window.

--- a/damaskdrift/src/entry/retry.rs
+++ b/damaskdrift/src/entry/retry.rs
@@ -10,22 +10,31 @@
 #[derive(Debug)]
 pub struct RetryWindows {
     limit: retry::Bound,
+    started_at: Millis,
     services: HashMap<id::Service, retry::AttemptWindow>,
 }
 
 impl RetryWindows {
-    /// Creates windows without attempts; `limit` holds for each service over all instances.
-    pub fn new(limit: retry::Bound) -> Self {
-        Self { limit, services: HashMap::new() }
+    /// Creates windows without attempts for an instance that started at the given time; `limit`
+    /// holds for each service over all instances.
+    pub fn new(limit: retry::Bound, started_at: Millis) -> Self {
+        Self { limit, started_at, services: HashMap::new() }
+    }
+
+    fn window(&mut self, service: &id::Service) -> &mut retry::AttemptWindow {
+        let window = || retry::AttemptWindow::new(self.started_at);
+        self.services.entry(service.clone()).or_insert_with(window)
     }
 
     /// Counts the first attempt of a request.
     pub fn record_first_attempt(&mut self, service: &id::Service, now: Millis) {
-        self.services.entry(service.clone()).or_default().record_first_attempt(&self.limit, now);
+        let limit = self.limit;
+        self.window(service).record_first_attempt(&limit, now);
     }
 
     /// Counts a retry, or returns `false` if the limit leaves none to this instance.
     pub fn try_retry(&mut self, service: &id::Service, instances: u32, now: Millis) -> bool {
-        self.services.entry(service.clone()).or_default().try_retry(&self.limit, instances, now)
+        let limit = self.limit;
+        self.window(service).try_retry(&limit, instances, now)
     }
 }
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -164,7 +164,7 @@
     ) -> (Rc<Self>, mpsc::Receiver<message::Changes>) {
         let (relayed_changes, queue) = mpsc::channel(RELAYED_CHANGES_QUEUE);
         let entry = Rc::new(Self {
-            retry_windows: RefCell::new(retry::RetryWindows::new(settings.repeats)),
+            retry_windows: RefCell::new(retry::RetryWindows::new(settings.repeats, clock::now())),
             settings,
             port,
             client,
--- a/damaskdrift_core/src/retry/window.rs
+++ b/damaskdrift_core/src/retry/window.rs
@@ -7,6 +7,11 @@
 /// Fraction of the limit that is used; the rest covers the offset between the windows of different
 /// instances.
 const USABLE_FRACTION: f64 = 0.8;
+/// Fraction of the limit that is used by an instance that started less than a window ago.
+///
+/// Before a restart it may have used its whole share, which still counts, and which it doesn't know.
+/// With this fraction the limit holds for an instance that restarts twice in a window.
+const USABLE_FRACTION_AFTER_START: f64 = 0.1;
 /// Number of buckets that a window is counted in.
 const BUCKETS: u64 = 10;
 
@@ -24,13 +29,19 @@
 }
 
 /// First attempts and retries of one instance to one service, counted over a sliding window.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct AttemptWindow {
+    started_at: Millis,
     /// Index, first attempts and retries of each bucket.
     buckets: VecDeque<(u64, u32, u32)>,
 }
 
 impl AttemptWindow {
+    /// Creates a window without attempts of an instance that started at the given time.
+    pub fn new(started_at: Millis) -> Self {
+        Self { started_at, buckets: VecDeque::new() }
+    }
+
     /// Counts a first attempt.
     pub fn record_first_attempt(&mut self, limit: &Bound, now: Millis) {
         self.current_bucket(limit, now).1 += 1;
@@ -48,7 +59,9 @@
             retries += bucket_retries;
         }
         let slack = limit.slack / f64::from(instances.max(1));
-        let allowed = USABLE_FRACTION * (limit.ratio * f64::from(first_attempts) + slack);
+        let is_new = now.since(self.started_at) < limit.window;
+        let usable_fraction = if is_new { USABLE_FRACTION_AFTER_START } else { USABLE_FRACTION };
+        let allowed = usable_fraction * (limit.ratio * f64::from(first_attempts) + slack);
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
--- a/damaskdrift_core/tests/entry.rs
+++ b/damaskdrift_core/tests/entry.rs
@@ -146,7 +146,7 @@
 #[rstest]
 fn retries_of_all_instances_stay_within_the_limit() {
     let limit = retry::Bound { ratio: 0.2, slack: 56.0, window: Millis(10_000) };
-    let mut windows: Vec<_> = (0..8).map(|_| retry::AttemptWindow::default()).collect();
+    let mut windows: Vec<_> = (0..8).map(|_| retry::AttemptWindow::new(Millis(0))).collect();
     let mut sends: Vec<(u64, bool)> = Vec::new();
     for now in (0..60_000).step_by(10) {
         for (index, window) in windows.iter_mut().enumerate() {
