--- a/damaskdrift_core/tests/restarts.rs
+++ b/damaskdrift_core/tests/restarts.rs
@@ -1,7 +1,5 @@
 //! Tests of the fleet-wide limit on retries while instances are killed and restarted.
 
-#![allow(clippy::unwrap_used, reason = "helpers of tests may panic like tests")]
-
 use damaskdrift_core::retry;
 use damaskdrift_core::time::Millis;
 use rstest::rstest;
@@ -13,8 +11,7 @@
 const LENGTH: u64 = 50_000;
 /// Time from the start of the simulation until requests arrive, which is longer than a window.
 const WARM_UP: u64 = 12_000;
-/// Interval in which the retries of every second are tried, in milliseconds: after it the instances
-/// have capacity again.
+/// Interval in which the instances retry as much as they may, in milliseconds.
 const RETRIES: std::ops::Range<u64> = 24_000..44_000;
 
 /// First attempts and retries of the fleet in each step.
@@ -28,11 +25,11 @@
     /// Asserts the users' rule: in each window at most the ratio of the requests of that window, of
     /// the one before it or of the one half a window before it, plus the slack.
     fn assert_within_limit(&self, description: &str) {
-        let steps = usize::try_from(LIMIT.window.0 / STEP).unwrap();
-        let sum = |of: &[f64], start: usize| -> f64 { of.iter().skip(start).take(steps).sum() };
-        for start in steps..self.retries.len() - steps {
+        let window = steps(LIMIT.window.0);
+        let sum = |of: &[f64], start: usize| -> f64 { of.iter().skip(start).take(window).sum() };
+        for start in window..self.retries.len() - window {
             let retries = sum(&self.retries, start);
-            let starts = [start, start - steps / 2, start - steps];
+            let starts = [start, start - window / 2, start - window];
             let requests = starts.map(|start| sum(&self.first_attempts, start));
             let allowed = LIMIT.ratio * requests.into_iter().fold(0.0, f64::max) + LIMIT.slack;
             assert!(
@@ -44,15 +41,20 @@
     }
 }
 
+/// Returns the number of steps in a time in milliseconds.
+fn steps(ms: u64) -> usize {
+    usize::try_from(ms / STEP).expect("a short simulation")
+}
+
 /// Simulates a fleet that retries as much as it may, with half or all of it killed at some times.
 fn simulate(instances: usize, requests_per_s: f64, kills: &[u64], is_half: bool) -> Counts {
     let mut windows: Vec<_> =
         (0..instances).map(|_| retry::AttemptWindow::new(Millis(0))).collect();
-    let count = u32::try_from(instances).unwrap();
+    let count = u32::try_from(instances).expect("few instances");
     let mut counts = Counts::default();
     let mut due = 0.0;
     let mut next = 0;
-    for now in (0..LENGTH).step_by(usize::try_from(STEP).unwrap()) {
+    for now in (0..LENGTH / STEP).map(|step| step * STEP) {
         if kills.contains(&now) {
             for (index, window) in windows.iter_mut().enumerate() {
                 if !is_half || index % 2 == 0 {
@@ -102,8 +104,7 @@
 #[rstest]
 fn instances_older_than_a_window_use_four_fifths_of_the_limit(#[values(1, 3, 8)] instances: usize) {
     let counts = simulate(instances, 360.0, &[], false);
-    let from = usize::try_from(RETRIES.start / STEP).unwrap();
-    let window = usize::try_from(LIMIT.window.0 / STEP).unwrap();
+    let (from, window) = (steps(RETRIES.start), steps(LIMIT.window.0));
     let retries: f64 = counts.retries.iter().skip(from).take(window).sum();
     let allowed = LIMIT.ratio * 3_600.0 + LIMIT.slack;
     assert!(retries >= 0.8 * allowed - instances as f64, "{retries} retries of {allowed}");
