Let discovery correct a guessed version of weights, and ignore older ones of other instances

Cause, read from the code and the log: an engine that refuses a request for its weights without naming them was taken to have the next version, and each further refusal renewed that guess like a report of the engine. Change: a guess is replaced by the next record. Reports of other instances, which repeat an observation for 3 s, only raise a version. The core test of the guess failed with the renewal.

--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -378,15 +378,16 @@
             // version assumed so far.
             let assumed = upstream.version(&prompt.model).unwrap_or(0);
             let target = self.entry.target_version(&prompt.model).unwrap_or(0);
-            let likely = version.unwrap_or_else(|| (assumed + 1).min(target.max(assumed)));
-            upstream.set_version(&prompt.model, likely, now);
-            if version.is_some() {
-                // Without this report each instance would learn the version only from a refusal of
-                // its own.
-                let weights = balance::Weights { model: prompt.model.clone(), version: likely };
-                self.entry.observed_weights.borrow_mut().record_version(id, weights, now);
-                self.entry.report_due.notify_one();
-            }
+            let Some(version) = version else {
+                upstream.guess_version(&prompt.model, (assumed + 1).min(target.max(assumed)));
+                return "the upstream has other weights".to_owned();
+            };
+            upstream.set_version(&prompt.model, version, now);
+            // Without this report each instance would learn the version only from a refusal of its
+            // own.
+            let weights = balance::Weights { model: prompt.model.clone(), version };
+            self.entry.observed_weights.borrow_mut().record_version(id, weights, now);
+            self.entry.report_due.notify_one();
         }
         "the upstream has other weights".to_owned()
     }
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -172,7 +172,10 @@
         let Some(upstream) = upstreams.get_mut(&id) else {
             continue;
         };
-        upstream.set_version(&model, *version, now);
+        // Other instances repeat an observation for some time, also after a newer one.
+        if upstream.version(&model) < Some(*version) {
+            upstream.set_version(&model, *version, now);
+        }
         let known = observed.versions.get(&id).map(|known| known.value.version);
         if known.is_none_or(|known| known < *version) {
             observed.record_version(&id, balance::Weights { model, version: *version }, now);
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -242,6 +242,11 @@
     /// Sets the version of a model's weights to one that the upstream itself reported.
     pub fn set_version(&mut self, model: &id::Model, version: u64, now: Millis) {
         self.weights_reported_at = Some(now);
+        self.guess_version(model, version);
+    }
+
+    /// Sets the version of a model's weights to a guess, which the next record replaces.
+    pub fn guess_version(&mut self, model: &id::Model, version: u64) {
         for weights in &mut self.record.weights {
             if weights.model == *model {
                 if version > weights.version {
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -394,6 +394,18 @@
     assert_eq!(upstreams.get(&id).unwrap().version(&model), Some(2));
 }
 
+/// Guards against a guessed version that hides for seconds that an upstream still has old weights, so
+/// that it gets no order to load the target version.
+#[rstest]
+fn the_next_record_corrects_a_guessed_version() {
+    let mut upstreams = fleet(1);
+    let (id, model) = (id::Upstream::new("u0"), id::Model::new("m"));
+    upstreams.get_mut(&id).unwrap().guess_version(&model, 2);
+    assert_eq!(upstreams.get(&id).unwrap().version(&model), Some(2));
+    upstreams.install(record("u0", 1), Millis(0), NOW + Millis(100));
+    assert_eq!(upstreams.get(&id).unwrap().version(&model), Some(1));
+}
+
 /// Guards against sending to upstreams that break each response, and against ejecting so many that
 /// none can serve when the cause is at this instance.
 #[rstest]
