--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -67,7 +67,7 @@
 
 /// State of the leader's work during one term.
 #[derive(Default)]
-struct Rollout {
+struct Term {
     /// Whether anything was done in this term.
     is_started: bool,
     schedulers: HashMap<id::Model, weights::LoadScheduler>,
@@ -88,7 +88,7 @@
 /// Claims leadership and does the leader's work until the instance stops.
 pub async fn run(entry: Rc<state::Entry>) {
     let mut lease: Option<leadership::HeldLease> = None;
-    let mut rollout = Rollout::default();
+    let mut term = Term::default();
     let mut driver = rollouts::Driver::default();
     let mut next_claim = clock::now();
     while !entry.stopping.is_cancelled() {
@@ -102,17 +102,17 @@
             };
             next_claim = clock::now() + wait;
         }
-        if lease.is_none() && rollout.is_started {
+        if lease.is_none() && term.is_started {
             // Another leader may have acted since; this also cancels the calls in progress.
-            rollout = Rollout::default();
+            term = Term::default();
         }
         if let Some(held) = lease {
             driver.tick(&entry, &held).await;
             let now = clock::now();
             let may_order = now.since(held.claimed_at) >= entry.settings.turn;
-            if may_order && held.is_valid(now) && !rollout.tick(&entry, held) {
+            if may_order && held.is_valid(now) && !term.tick(&entry, held) {
                 log::warn!(fence:% = held.fence; "fenced by a newer leader; releasing leadership");
-                rollout = Rollout::default();
+                term = Term::default();
                 leadership::release(&entry, lease.take()).await;
                 next_claim = clock::now() + entry.settings.turn;
             }
@@ -125,7 +125,7 @@
     leadership::release(&entry, lease).await;
 }
 
-impl Rollout {
+impl Term {
     /// Sends due orders and frees unused segments. Returns false if fenced by a newer leader.
     fn tick(&mut self, entry: &Rc<state::Entry>, lease: leadership::HeldLease) -> bool {
         self.is_started = true;
@@ -161,8 +161,6 @@
         while let Some(ended) = self.calls.try_join_next() {
             let call = match ended {
                 Ok(call) => call,
-                // Calls are cancelled when the instance is fenced.
-                Err(error) if error.is_cancelled() => continue,
                 Err(error) => {
                     log::error!(cause:% = error; "task that calls an upstream failed");
                     continue;
