--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -406,7 +406,8 @@
         log::info!(
             request = self.head.id.as_str(), route = &*self.route.name, upstream:% = id,
             status = status.as_u16(), sends = self.attempts, kept = plan_summary, root,
-            weights = self.expected_weights, target_weights, head_ms = head_ms as u64, waited_ms = self.waited.as_millis() as u64;
+            weights = self.expected_weights, target_weights, head_ms = head_ms as u64,
+            waited_ms = self.waited.as_millis() as u64;
             "answer passed on"
         );
     }
