Review: show that interim responses without end stall an instance

Seven servers send 100 Continue without end, 17 MB/s each, below the machine's link. The instance, held to a quarter of a core by signals as the platform does, answers their requests 4 to 8 s after the route's timeout and requests to a sound server after theirs.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,9 +6,9 @@
 
 mod gone;
 mod http;
+mod interim;
 mod json;
 mod link;
-mod memory;
 mod poison;
 mod program;
 mod record;
@@ -42,9 +42,9 @@
     let work = program::temporary_folder(case);
     let verdict = match case.as_str() {
         "stop" => stop::run(&record, &work, has_trouble),
-        "memory" => memory::run(&record, &work, has_trouble),
         "wall" => wall::run(&record, &work, has_trouble),
         "poison" => poison::run(&record, &work, has_trouble),
+        "interim" => interim::run(&record, &work, has_trouble),
         "gone" => gone::run(&record, &work, has_trouble),
         _ => Verdict::NotRun(format!("unknown case {case}")),
     };
--- a/review/standin/program.rs
+++ b/review/standin/program.rs
@@ -4,6 +4,8 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,6 +21,11 @@
 /// Signals, the same on all Linux machines.
 pub const KILL: i32 = 9;
 pub const TERMINATE: i32 = 15;
+const CONTINUE: i32 = 18;
+const STOP: i32 = 19;
+
+/// Period in which the platform counts a process's processor time (DEPLOY.md, Processor).
+const SHARE_PERIOD: Duration = Duration::from_millis(100);
 
 /// An instance in a process of its own, killed when this is dropped.
 pub struct Instance {
@@ -50,10 +57,6 @@
         is_ended && child.map(|child| self.child = child).is_some()
     }
 
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     pub fn is_ready(&self) -> bool {
         let Ok(mut conn) = Connection::open(self.ready) else {
             return false;
@@ -79,11 +82,63 @@
         unsafe { kill(pid, signal) };
     }
 
+    /// Holds the process to `cpu-share` of a core, as the platform does: it runs at full speed until
+    /// its share of a tenth of a second is used up, and then not at all for the rest of it.
+    ///
+    /// The limit ends with the returned value, which has to be dropped before the instance.
+    pub fn hold_to_share(&self, share: f64) -> ShareLimit {
+        let process = i32::try_from(self.child.id()).expect("process ids fit into i32");
+        let is_over = Arc::new(AtomicBool::new(false));
+        let ends = is_over.clone();
+        let thread = thread::spawn(move || {
+            let allowed = SHARE_PERIOD.mul_f64(share);
+            while !ends.load(Ordering::SeqCst) {
+                let (started, used) = (Instant::now(), processor_time(process));
+                let mut is_stopped = false;
+                while started.elapsed() < SHARE_PERIOD {
+                    if !is_stopped && processor_time(process).saturating_sub(used) >= allowed {
+                        // SAFETY: the call has no memory effects; the process is a child not yet
+                        // waited for.
+                        unsafe { kill(process, STOP) };
+                        is_stopped = true;
+                    }
+                    thread::sleep(Duration::from_millis(1));
+                }
+                if is_stopped {
+                    // SAFETY: as above.
+                    unsafe { kill(process, CONTINUE) };
+                }
+            }
+        });
+        ShareLimit { is_over, thread: Some(thread) }
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 }
 
+/// A limit on a process's processor time, which lasts until it is dropped.
+pub struct ShareLimit {
+    is_over: Arc<AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for ShareLimit {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        // The thread only sends signals.
+        let _ = self.thread.take().map(thread::JoinHandle::join);
+    }
+}
+
+/// Returns the processor time of the process's main thread, on which all requests are served.
+fn processor_time(process: i32) -> Duration {
+    let text = fs::read_to_string(format!("/proc/{process}/schedstat")).unwrap_or_default();
+    let ns = text.split_whitespace().next().and_then(|ns| ns.parse().ok()).unwrap_or(0);
+    Duration::from_nanos(ns)
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         // The process may have ended already.
