Log what a stopping instance sends and leaves unfinished

The log could not show whether they were taken before the stop, too late in it, or ended by their upstream: `requests` counts only those without a response head, so the line at the exit said 0 for six cut streams.

The stop and the exit now log the requests at upstreams whose responses are not complete, and each request that is sent during the stop is logged with the time that it may still take.

--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -101,6 +101,13 @@
             self.entry.retry_windows.borrow_mut().record_first_attempt(&self.service.id, now);
         }
         self.attempts += 1;
+        if self.entry.stopping.is_cancelled() {
+            let time_left_ms = self.time_left().map(|left| Millis::from(left).0);
+            log::info!(
+                request = self.head.id.as_str(), upstream:% = id, time_left_ms:?;
+                "request sent while the instance stops"
+            );
+        }
         let tokens = self.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
         let in_flight = balance::InFlightRequest { tokens, pending_prefill };
         let expected = self.head.prompt.as_ref();
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -90,6 +90,7 @@
     ) -> Self {
         let started_at = clock::now();
         let incarnation = notices::incarnation(entry, upstream);
+        entry.in_flight.set(entry.in_flight.get() + 1);
         if let Some(upstream) = entry.upstreams.borrow_mut().get_mut(upstream) {
             upstream.begin_request(&request, started_at);
         }
@@ -185,6 +186,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        self.entry.in_flight.set(self.entry.in_flight.get().saturating_sub(1));
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
             upstream.end_request(&mut self.request);
         }
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -89,7 +89,10 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    log::info!(requests = entry.requests.get(); "instance stopping");
+    log::info!(
+        requests = entry.requests.get(), in_flight = entry.in_flight.get();
+        "instance stopping"
+    );
     entry.stopping.cancel();
     let shutdown = async {
         tokio::time::sleep(Duration::from(SHUTDOWN_ACCEPT_DURATION)).await;
@@ -103,7 +106,7 @@
     let grace = Duration::from(entry.settings.grace - GRACE_MARGIN);
     if tokio::time::timeout(grace, shutdown).await.is_err() {
         log::warn!(
-            requests = entry.requests.get();
+            requests = entry.requests.get(), in_flight = entry.in_flight.get();
             "grace period over; exiting with unfinished requests"
         );
     }
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -141,8 +141,10 @@
     pub leader: RefCell<Option<(id::Instance, id::FencingToken)>>,
     /// Cancelled once the instance stops.
     pub stopping: CancellationToken,
-    /// Number of requests being served.
+    /// Number of requests that have no response yet.
     pub requests: Cell<u32>,
+    /// Number of requests at upstreams whose responses are not complete.
+    pub in_flight: Cell<u32>,
     /// Number of requests that wait for an upstream with room.
     pub waiting: Cell<u32>,
     /// Random number generator for jitter and the choice of upstreams.
@@ -189,6 +191,7 @@
             leader: RefCell::default(),
             stopping: CancellationToken::new(),
             requests: Cell::new(0),
+            in_flight: Cell::new(0),
             waiting: Cell::new(0),
             report_due: Notify::new(),
             relay_tx: broadcast::Sender::new(RELAY_QUEUE_FRAMES),
