Refuse during a stop what may not end before the exit

Cause: an instance took requests until 3.5 s after the signal and exited after 7.5 s, whatever time limit the requests had. Neither time was compared with the limits on what is taken.

Change: core `shutdown` has the times of a stop. During it a request is sent only if its time limit ends 0.25 s before the exit; one that may run again is also sent in the first 2.5 s, while load balancers still send requests here. Others are refused at once as not run, with `Retry-After: 0`. Retries and requests whose connection was being opened are checked too.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -148,6 +148,9 @@
             {
                 return Err(forward::configuration_stale(self.entry));
             }
+            if !self.ends_before_exit() {
+                return Err(self.refused_by_shutdown());
+            }
             let (upstream, pending_prefill) = match self.choose_upstream() {
                 Ok(choice) => choice,
                 Err(unavailable) if self.may_wait(unavailable) => {
@@ -194,6 +197,24 @@
         self.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()))
     }
 
+    /// Returns whether the request may be sent although the instance stops: it has to end before the
+    /// instance exits.
+    pub fn ends_before_exit(&self) -> bool {
+        let Some(plan) = self.entry.shutdown.get() else {
+            return true;
+        };
+        let now = clock::now();
+        let ends_at = self.time_left().map(|left| now + Millis::from(left));
+        let may_run_again = self.route.retry_policy == routing::RetryPolicy::MayRunAgain;
+        plan.admits(ends_at, may_run_again, now)
+    }
+
+    /// Returns the refusal of a request that another instance can serve at once.
+    pub fn refused_by_shutdown(&self) -> refusal::Refusal {
+        let reason = "the instance stops before the request is certain to end";
+        refusal::Refusal::not_run(code::Code::Draining, reason).with_retry_after(Duration::ZERO)
+    }
+
     /// Waits until the next look for an upstream with room.
     async fn wait_for_room(&mut self) {
         let waiting = WaitingRequest::new(self.entry);
@@ -272,7 +293,7 @@
     /// Without another upstream or a retry the request keeps waiting, since the upstream may still
     /// respond.
     pub fn gives_up_on(&mut self, id: &id::Upstream, waited: Millis) -> bool {
-        if !self.is_overdue(id, waited) {
+        if !self.is_overdue(id, waited) || !self.ends_before_exit() {
             return false;
         }
         self.tried.push(id.clone());
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -80,11 +80,15 @@
             },
         };
         // While the connection was opened, the configuration and the upstream's weights may have
-        // expired, and the upstream may have started draining or asked for a pause.
+        // expired, the instance may have begun to stop, and the upstream may have started draining or
+        // asked for a pause.
         if self.head.api_key.is_some() && self.entry.staleness() == config_sync::Staleness::Expired
         {
             return job::Outcome::Refused(forward::configuration_stale(self.entry));
         }
+        if !self.ends_before_exit() {
+            return job::Outcome::Refused(self.refused_by_shutdown());
+        }
         let Some((_, model_version)) = self.target(id) else {
             return job::Outcome::NotSent("the upstream takes no more requests for now".to_owned());
         };
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use damaskdrift_core::time::Millis;
+use damaskdrift_core::shutdown;
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -15,6 +15,7 @@
 
 use crate::entry::cache_stores;
 use crate::entry::client;
+use crate::entry::clock;
 use crate::entry::leadership;
 use crate::entry::listener;
 use crate::entry::observe;
@@ -26,13 +27,6 @@
 use crate::entry::state;
 use crate::entry::weights;
 
-/// Time for which a stopping instance still accepts connections: the platform notices that it isn't
-/// ready only after two readiness checks, which it makes once per second.
-const SHUTDOWN_ACCEPT_DURATION: Millis = Millis(3_500);
-/// Time before the end of the grace period at which an instance exits even if requests are
-/// unfinished.
-const GRACE_MARGIN: Millis = Millis(500);
-
 /// Reason for which an instance could not start.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -93,9 +87,12 @@
         requests = entry.requests.get(), in_flight = entry.in_flight.get();
         "instance stopping"
     );
+    let now = clock::now();
+    let plan = shutdown::Plan::new(now, entry.settings.grace);
+    entry.shutdown.set(Some(plan));
     entry.stopping.cancel();
     let shutdown = async {
-        tokio::time::sleep(Duration::from(SHUTDOWN_ACCEPT_DURATION)).await;
+        tokio::time::sleep(Duration::from(plan.stops_accepting_at().since(now))).await;
         close.cancel();
         for task in [callers, registration, weights] {
             if let Err(error) = task.await {
@@ -103,8 +100,8 @@
             }
         }
     };
-    let grace = Duration::from(entry.settings.grace - GRACE_MARGIN);
-    if tokio::time::timeout(grace, shutdown).await.is_err() {
+    let time_left = Duration::from(plan.exits_at().since(now));
+    if tokio::time::timeout(time_left, shutdown).await.is_err() {
         log::warn!(
             requests = entry.requests.get(), in_flight = entry.in_flight.get();
             "grace period over; exiting with unfinished requests"
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -10,6 +10,7 @@
 use damaskdrift_core::membership;
 use damaskdrift_core::prefix_cache;
 use damaskdrift_core::routing;
+use damaskdrift_core::shutdown;
 use damaskdrift_core::time::Millis;
 use damaskdrift_core::weights;
 use rand::SeedableRng as _;
@@ -141,6 +142,8 @@
     pub leader: RefCell<Option<(id::Instance, id::FencingToken)>>,
     /// Cancelled once the instance stops.
     pub stopping: CancellationToken,
+    /// The times of the stop, once the instance stops.
+    pub shutdown: Cell<Option<shutdown::Plan>>,
     /// Number of requests that have no response yet.
     pub requests: Cell<u32>,
     /// Number of requests at upstreams whose responses are not complete.
@@ -190,6 +193,7 @@
             rollouts: RefCell::default(),
             leader: RefCell::default(),
             stopping: CancellationToken::new(),
+            shutdown: Cell::default(),
             requests: Cell::new(0),
             in_flight: Cell::new(0),
             waiting: Cell::new(0),
--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod routing;
+pub mod shutdown;
 pub mod slo;
 pub mod template;
 pub mod time;
