Remove upstreams whose entries are missing when their time is over

Cause: after an outage of the store, upstreams with missing entries stay in use for 2 s, since entries may have lapsed with the store. The end of the 2 s was noticed only when a watch returned, up to 1.5 s later. By the code, the 2 s can also begin up to 1.9 s after the return, if a call that began just before it waits for its timeout.

Evidence: in the log of the instance the store is reached at the end of the cut, the removal of the entry is seen at once, and the upstream is removed 3.4 s after the return, when the second watch ends.

Another outage extends the limit. A list without a response is requested again after 0.5 s, so that the return is seen soon.

--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -1,14 +1,17 @@
 //! Follows the platform store and applies its changes to the state of the instance.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use damaskdrift_core::balance;
+use damaskdrift_core::config_sync;
 use damaskdrift_core::id;
 use damaskdrift_core::membership;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -36,8 +39,11 @@
 const MAX_LEAF_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// How often a leaf checks whether its relays still confirm the configuration.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time that live upstreams have to register again after the store lost their entries in an outage.
-const REREGISTRATION_TIMEOUT: Millis = Millis(2_000);
+/// Time after which a list that got no response is requested once more. A request that was sent just
+/// before the store returned may never get one, and the return has to be noticed soon.
+const LIST_REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of lists that are requested at the same time.
+const MAX_CONCURRENT_LISTS: usize = 3;
 
 /// Age of the latest confirmation up to which changes count as made just now. With an older one the
 /// instance was paused or cut off, and the changes may have waited as long.
@@ -47,15 +53,6 @@
 /// when the version was set.
 const UNKNOWN_TARGET_ALLOWANCE: Millis = Millis(2_500);
 
-/// Connectivity of the platform store and its effect on upstreams.
-struct Connectivity {
-    is_up: bool,
-    /// When this instance or a relay last saw the store return from an outage; zero if never.
-    restored_at: Millis,
-    /// Upstreams whose entries expired in an outage of the store, and when they are removed.
-    expired: BTreeMap<id::Upstream, Millis>,
-}
-
 /// Reason to stop following relays.
 enum Interrupted {
     /// The relays no longer confirm that the installed revision is the newest.
@@ -66,30 +63,65 @@
 
 /// Follows the platform store until the process ends.
 pub async fn run(entry: Rc<state::Entry>, mut relayed_changes: mpsc::Receiver<message::Changes>) {
-    let mut connectivity =
-        Connectivity { is_up: true, restored_at: Millis(0), expired: BTreeMap::new() };
+    let mut reachability = config_sync::Reachability::default();
     let mut pause = RETRY_PAUSE.0;
     loop {
-        let requested_at = clock::now();
-        match entry.port.list().await {
-            Ok(batch) => {
-                connectivity.set_up(true, "list");
+        match list(&entry, &mut reachability).await {
+            Ok((requested_at, batch)) => {
+                if reachability.record_reached(clock::now()) {
+                    log::info!("the platform's store is reached again");
+                }
                 pause = RETRY_PAUSE.0;
-                let listed = apply(&entry, &mut connectivity, &batch.items, Source::List);
-                remove_unlisted(&entry, &mut connectivity, &listed);
+                let listed = apply(&entry, &mut reachability, &batch.items, Source::List);
+                remove_unlisted(&entry, &mut reachability, &listed);
                 entry.follower.revision.set(batch.revision.max(entry.follower.revision.get()));
                 entry.record_confirmation(requested_at);
-                follow(&entry, &mut connectivity, &mut relayed_changes).await;
+                follow(&entry, &mut reachability, &mut relayed_changes).await;
             }
-            Err(error) => {
-                connectivity.set_up(false, &error.to_string());
-                apply_relayed_for(&entry, &mut connectivity, &mut relayed_changes, pause).await;
+            Err((requested_at, error)) => {
+                record_unreached(&mut reachability, requested_at, &error.to_string());
+                apply_relayed_for(&entry, &mut reachability, &mut relayed_changes, pause).await;
                 pause = (pause * 2).min(max_retry_pause(&entry));
             }
         }
     }
 }
 
+/// Lists the store and returns when the list was requested.
+///
+/// If the store was followed before, a list that gets no response is requested again meanwhile.
+async fn list(
+    entry: &state::Entry,
+    reachability: &mut config_sync::Reachability,
+) -> Result<(Millis, port::Batch), (Millis, port::StoreError)> {
+    let was_followed = entry.config_confirmed_at.get().is_some();
+    let mut lists = FuturesUnordered::new();
+    loop {
+        let requested_at = clock::now();
+        lists.push(async move {
+            let result = entry.port.list().await;
+            result.map(|batch| (requested_at, batch)).map_err(|error| (requested_at, error))
+        });
+        let may_repeat = was_followed && lists.len() < MAX_CONCURRENT_LISTS;
+        tokio::select! {
+            Some(result) = lists.next() => return result,
+            () = tokio::time::sleep(LIST_REPEAT_INTERVAL), if may_repeat => {
+                record_unreached(reachability, requested_at, "no response yet");
+            }
+        }
+    }
+}
+
+fn record_unreached(
+    reachability: &mut config_sync::Reachability,
+    requested_at: Millis,
+    cause: &str,
+) {
+    if reachability.record_unreached(requested_at) {
+        log::warn!(cause; "the platform's store cannot be reached");
+    }
+}
+
 /// Returns the maximum pause between failed calls to the store.
 ///
 /// It is longer for a leaf, since relays may confirm the configuration in the meantime.
@@ -103,31 +135,31 @@
 /// Applies relayed changes for the duration of a pause while the store is unreachable.
 async fn apply_relayed_for(
     entry: &Rc<state::Entry>,
-    connectivity: &mut Connectivity,
+    reachability: &mut config_sync::Reachability,
     relayed_changes: &mut mpsc::Receiver<message::Changes>,
     pause: Duration,
 ) {
     let until = Instant::now() + pause;
     while let Ok(Some(changes)) = tokio::time::timeout_at(until, relayed_changes.recv()).await {
-        if apply_relayed(entry, connectivity, &changes).is_err() {
+        if apply_relayed(entry, reachability, &changes).is_err() {
             return;
         }
     }
     if relies_on_relays(entry) {
         // Relays reach the store although this instance does not.
-        follow_relays(entry, connectivity, relayed_changes).await;
+        follow_relays(entry, reachability, relayed_changes).await;
     }
 }
 
 /// Follows the store from the installed revision until it has to be listed again.
 async fn follow(
     entry: &Rc<state::Entry>,
-    connectivity: &mut Connectivity,
+    reachability: &mut config_sync::Reachability,
     relayed_changes: &mut mpsc::Receiver<message::Changes>,
 ) {
     loop {
         if relies_on_relays(entry) {
-            match follow_relays(entry, connectivity, relayed_changes).await {
+            match follow_relays(entry, reachability, relayed_changes).await {
                 // The watch below shows whether this instance can reach the store itself.
                 Interrupted::Unconfirmed => {}
                 Interrupted::Gap => return,
@@ -139,17 +171,21 @@
             membership::Role::Relay => RELAY_WATCH_WAIT,
             membership::Role::Mesh | membership::Role::Leaf => WATCH_WAIT,
         };
-        match entry.port.watch(before, wait).await {
+        let until_removal = reachability.removal_due_at().map(|at| at.since(requested_at));
+        match entry.port.watch(before, until_removal.map_or(wait, |left| left.min(wait))).await {
             Ok(batch) => {
                 let has_changes = !batch.items.is_empty();
-                apply(entry, connectivity, &batch.items, Source::Changes);
-                relay(entry, connectivity, before, &batch);
+                apply(entry, reachability, &batch.items, Source::Changes);
+                relay(entry, reachability, before, &batch);
                 entry.follower.revision.set(before.max(batch.revision));
                 entry.record_confirmation(requested_at);
-                connectivity.remove_expired(entry);
+                remove_missing(entry, reachability);
                 if has_changes {
                     let watchers = u32::try_from(entry.layout().watchers).unwrap_or(u32::MAX);
                     let pause = WATCH_PAUSE + WATCH_PAUSE_PER_WATCHER.saturating_mul(watchers);
+                    let due_at = reachability.removal_due_at();
+                    let until_removal = due_at.map(|at| at.since(clock::now()).into());
+                    let pause = pause.min(until_removal.unwrap_or(MAX_WATCH_PAUSE));
                     tokio::time::sleep(pause.min(MAX_WATCH_PAUSE)).await;
                 }
             }
@@ -170,7 +206,7 @@
 /// Follows the store through relays until they no longer confirm the installed revision.
 async fn follow_relays(
     entry: &Rc<state::Entry>,
-    connectivity: &mut Connectivity,
+    reachability: &mut config_sync::Reachability,
     relayed_changes: &mut mpsc::Receiver<message::Changes>,
 ) -> Interrupted {
     loop {
@@ -179,14 +215,14 @@
                 let Some(changes) = changes else {
                     return Interrupted::Unconfirmed;
                 };
-                if let Err(interrupted) = apply_relayed(entry, connectivity, &changes) {
+                if let Err(interrupted) = apply_relayed(entry, reachability, &changes) {
                     return interrupted;
                 }
             }
             () = entry.follower.must_relist.notified() => return Interrupted::Gap,
             () = tokio::time::sleep(RELAY_CHECK_INTERVAL) => {}
         }
-        connectivity.remove_expired(entry);
+        remove_missing(entry, reachability);
         if !relies_on_relays(entry) {
             return Interrupted::Unconfirmed;
         }
@@ -203,7 +239,7 @@
 /// Applies changes received from a relay.
 fn apply_relayed(
     entry: &Rc<state::Entry>,
-    connectivity: &mut Connectivity,
+    reachability: &mut config_sync::Reachability,
     changes: &message::Changes,
 ) -> Result<(), Interrupted> {
     let revision = entry.follower.revision.get();
@@ -216,7 +252,7 @@
         return Err(Interrupted::Gap);
     }
     if let Some(ago_ms) = changes.restored_ago_ms {
-        connectivity.restored_at = connectivity.restored_at.max(clock::now() - Millis(ago_ms));
+        reachability.record_relayed_return(clock::now() - Millis(ago_ms));
     }
     let mut items = Vec::new();
     for (key, value, at) in &changes.items {
@@ -224,13 +260,18 @@
             items.push(port::Item { key: key.clone(), value: value.clone(), revision: *at });
         }
     }
-    apply(entry, connectivity, &items, Source::Changes);
+    apply(entry, reachability, &items, Source::Changes);
     entry.follower.revision.set(to);
     Ok(())
 }
 
 /// Sends changes to the leaves if this instance is a relay.
-fn relay(entry: &state::Entry, connectivity: &Connectivity, before: u64, batch: &port::Batch) {
+fn relay(
+    entry: &state::Entry,
+    reachability: &config_sync::Reachability,
+    before: u64,
+    batch: &port::Batch,
+) {
     if entry.layout().role != membership::Role::Relay || batch.revision <= before {
         return;
     }
@@ -238,8 +279,7 @@
     for item in &batch.items {
         items.push((item.key.clone(), item.value.clone(), item.revision));
     }
-    let restored_at = connectivity.restored_at;
-    let restored_ago_ms = (restored_at > Millis(0)).then(|| clock::now().since(restored_at).0);
+    let restored_ago_ms = reachability.returned_at().map(|at| clock::now().since(at).0);
     for (range, items) in message::split_changes((before, batch.revision), items) {
         let changes = message::Changes { range, items, restored_ago_ms };
         let frame = Rc::new(message::Frame::Changes(changes));
@@ -271,7 +311,7 @@
 /// Applies items of the store and returns what they list.
 fn apply(
     entry: &state::Entry,
-    connectivity: &mut Connectivity,
+    reachability: &mut config_sync::Reachability,
     items: &[port::Item],
     source: Source,
 ) -> Listed {
@@ -297,10 +337,10 @@
             port::Change::Config(document) => install(entry, *document),
             port::Change::Upstream(record) => {
                 listed.upstreams.insert(record.id.clone());
-                connectivity.expired.remove(&record.id);
+                reachability.record_listed(&record.id);
                 install_upstream(entry, record);
             }
-            port::Change::UpstreamRemoved(id) => connectivity.remove(entry, id),
+            port::Change::UpstreamRemoved(id) => remove_upstream(entry, reachability, id),
             port::Change::TargetWeights(weights) => set_target_version(entry, weights, source),
             port::Change::DomainOutOfService(domain, is_out) => {
                 log::info!(domain:%, is_out; "failure domain changed by operators");
@@ -344,11 +384,15 @@
 }
 
 /// Removes what a list of the store no longer contains.
-fn remove_unlisted(entry: &state::Entry, connectivity: &mut Connectivity, listed: &Listed) {
+fn remove_unlisted(
+    entry: &state::Entry,
+    reachability: &mut config_sync::Reachability,
+    listed: &Listed,
+) {
     let known = entry.upstreams.borrow().ids();
     for id in known {
         if !listed.upstreams.contains(&id) {
-            connectivity.remove(entry, id);
+            remove_upstream(entry, reachability, id);
         }
     }
     entry.set_instances(&listed.instances);
@@ -417,48 +461,24 @@
     }
 }
 
-impl Connectivity {
-    fn set_up(&mut self, is_up: bool, cause: &str) {
-        if self.is_up == is_up {
-            return;
-        }
-        self.is_up = is_up;
-        if is_up {
-            self.restored_at = clock::now();
-            log::info!("the platform's store is reached again");
-        } else {
-            log::warn!(cause; "the platform's store cannot be reached");
-        }
-    }
-
-    /// Removes an upstream whose entry is gone.
-    ///
-    /// Shortly after an outage of the store the upstream stays in use instead until live upstreams
-    /// have had time to register again.
-    fn remove(&mut self, entry: &state::Entry, id: id::Upstream) {
-        let until = self.restored_at + REREGISTRATION_TIMEOUT;
-        if self.restored_at > Millis(0) && clock::now() < until {
-            log::info!(upstream:% = id; "entry lapsed with the store");
-            self.expired.entry(id).or_insert(until);
-        } else if entry.upstreams.borrow_mut().remove(&id) {
-            log::info!(upstream:% = id; "upstream gone");
-        }
+/// Removes an upstream whose entry is missing, unless the entry may have lapsed in an outage.
+fn remove_upstream(
+    entry: &state::Entry,
+    reachability: &mut config_sync::Reachability,
+    id: id::Upstream,
+) {
+    if reachability.record_missing(id.clone(), clock::now()) {
+        log::info!(upstream:% = id; "entry lapsed with the store");
+    } else if entry.upstreams.borrow_mut().remove(&id) {
+        log::info!(upstream:% = id; "upstream gone");
     }
+}
 
-    /// Removes the upstreams with expired entries that did not register again in time.
-    fn remove_expired(&mut self, entry: &state::Entry) {
-        let now = clock::now();
-        let due: Vec<_> = self
-            .expired
-            .iter()
-            .filter(|(_, until)| now >= **until)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
-            self.expired.remove(&id);
-            if entry.upstreams.borrow_mut().remove(&id) {
-                log::info!(upstream:% = id; "upstream did not register again; removed");
-            }
+/// Removes the upstreams that have not registered again in time after an outage.
+fn remove_missing(entry: &state::Entry, reachability: &mut config_sync::Reachability) {
+    for id in reachability.take_removed(clock::now()) {
+        if entry.upstreams.borrow_mut().remove(&id) {
+            log::info!(upstream:% = id; "upstream did not register again; removed");
         }
     }
 }
--- a/damaskdrift_core/src/config_sync/mod.rs
+++ b/damaskdrift_core/src/config_sync/mod.rs
@@ -6,12 +6,14 @@
 
 mod freshness;
 mod propagation;
+mod reachability;
 mod staleness;
 mod state;
 mod watch;
 
 pub use freshness::{Freshness, StopReason};
 pub use propagation::{CLAIM_MARGIN, CLAIM_SLACK, Claim, ClaimReason, Propagation};
+pub use reachability::Reachability;
 pub use staleness::{Staleness, relayed_confirmed_at, staleness};
 pub use state::{Offer, PeerReport, ReadOutcome, State};
 pub use watch::{WATCHERS_PER_DOMAIN, watchers};
