Give segments another salt when the set of isolated workspaces changes

Cause: the salt of segments named the workspace only if it is isolated. All others shared one salt whoever was among them, so that a workspace that left them left its segments to them.

In the code, requests that wait for room also kept the isolation with which they arrived.

Change: core `prefix_cache::Scopes`. The salt of workspaces that are not isolated has a hash of the set of isolated ones, which every instance derives from the configuration. It is that of the newest configuration when a request is sent. The leader frees segments under salts that the configuration does not use from managed stores, once no instance can use them.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -319,9 +319,17 @@
         !self.entry.quarantine.may_repeat(&self.shared_segments)
     }
 
-    /// Returns the workspace if it shares no cached prompt segments with others.
-    pub fn isolated_workspace(&self) -> Option<&id::Workspace> {
-        self.workspace.filter(|w| w.is_isolated).map(|w| &w.id)
+    /// Returns the workspaces with which the request shares cached segments by the newest
+    /// configuration: its workspace may have become isolated since the request arrived.
+    ///
+    /// One that was isolated then may have been removed, and shares nothing in any case.
+    pub fn cache_scope<'t>(&'t self, table: &'t routing::Table) -> prefix_cache::Scope<'t> {
+        match self.workspace {
+            Some(workspace) if workspace.is_isolated => {
+                prefix_cache::Scope::Isolated(&workspace.id)
+            }
+            workspace => table.cache_scopes.scope(workspace.map(|workspace| &workspace.id)),
+        }
     }
 
     fn choose_upstream(&self) -> Result<(id::Upstream, u64), balance::Unavailable> {
@@ -330,13 +338,17 @@
         let no_targets = weights::Targets::default();
         let targets = self.entry.target_versions.borrow();
         let targets = prompt.and_then(|prompt| targets.get(&prompt.model)).unwrap_or(&no_targets);
+        let table = self.entry.table.borrow().clone();
+        let cache_scope = table.as_ref().map(|table| self.cache_scope(table)).unwrap_or_default();
         let mut segments = Vec::new();
         let mut fetch_time = None;
         if let Some(prompt) = prompt {
             let shared = prompt.segments.split_last().map_or(&[][..], |(_, shared)| shared);
             segments.extend(shared.iter().map(|segment| (segment.id, segment.tokens)));
-            if let Some(version) = targets.newest() {
-                let salt = prefix_cache::salt(&prompt.model, version, self.isolated_workspace());
+            if let Some(version) = targets.newest()
+                && self.entry.may_fetch_segments()
+            {
+                let salt = prefix_cache::salt(&prompt.model, version, cache_scope);
                 fetch_time =
                     self.entry.cache_stores.borrow().fetch_time(&salt, &prompt.segments, now);
             }
@@ -345,7 +357,7 @@
             service: self.service,
             model: prompt.map(|prompt| (&prompt.model, targets)),
             old_weights_limit: self.entry.old_weights_limit(),
-            isolated_workspace: self.isolated_workspace(),
+            cache_scope,
             tokens: prompt.map_or(0, |prompt| prompt.tokens),
             segments: &segments,
             fetch_time,
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -294,15 +294,22 @@
         Some((record.address, version))
     }
 
+    /// Returns the salt under which the request runs, or `None` without a prompt.
+    fn salt(&self, version: u64) -> Option<Arc<str>> {
+        let prompt = self.head.prompt.as_ref()?;
+        let table = self.entry.table.borrow();
+        let scope = self.cache_scope(table.as_ref()?);
+        Some(prefix_cache::salt(&prompt.model, version, scope))
+    }
+
     fn encode(&self, id: &id::Upstream, version: u64) -> (Request<Full<Bytes>>, &'static str) {
         let now = clock::now();
-        let salt: Option<Arc<str>> =
-            self.head.prompt.as_ref().map(|prompt| {
-                prefix_cache::salt(&prompt.model, version, self.isolated_workspace())
-            });
+        let salt = self.salt(version);
         let mut plan = prefix_cache::Plan::default();
         if let (Some(prompt), Some(salt)) = (&self.head.prompt, &salt) {
-            plan = self.entry.cache_stores.borrow_mut().plan(salt, &prompt.segments, now);
+            let may_fetch = self.entry.may_fetch_segments();
+            let mut stores = self.entry.cache_stores.borrow_mut();
+            plan = stores.plan(salt, &prompt.segments, may_fetch, now);
             if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(id) {
                 for segment in &prompt.segments {
                     upstream.record_segment(salt, segment.id, now);
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -410,7 +410,17 @@
         return;
     }
     entry.cache_stores.borrow_mut().install(&document.cache_stores);
-    *entry.table.borrow_mut() = Some(Rc::new(routing::Table::new(document)));
+    let table = routing::Table::new(document);
+    if let Some(before) = &*entry.table.borrow()
+        && entry
+            .cache_stores
+            .borrow()
+            .hold_returned_scope(&before.cache_scopes, &table.cache_scopes)
+    {
+        // A leader that still has an earlier configuration may free these segments.
+        entry.fetches_allowed_from.set(clock::now() + entry.settings.revocation);
+    }
+    *entry.table.borrow_mut() = Some(Rc::new(table));
     log::info!(version, before:?; "configuration installed");
 }
 
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -130,6 +130,8 @@
     pub out_of_service: RefCell<BTreeSet<id::FailureDomain>>,
     /// Target versions of each model's weights.
     pub target_versions: RefCell<HashMap<id::Model, weights::Targets>>,
+    /// Time until which no segments are fetched from cache stores.
+    pub fetches_allowed_from: Cell<Millis>,
     /// Cache stores and their known contents.
     pub cache_stores: RefCell<prefix_cache::CacheStores>,
     /// Offset of the upstreams' clock from [`clock::now`], if known.
@@ -188,6 +190,7 @@
             upstreams: RefCell::default(),
             out_of_service: RefCell::default(),
             target_versions: RefCell::default(),
+            fetches_allowed_from: Cell::default(),
             cache_stores: RefCell::default(),
             upstream_clock_offset_ms: Cell::default(),
             rollouts: RefCell::default(),
@@ -229,6 +232,15 @@
         self.settings.version_limit - OLD_WEIGHTS_MARGIN
     }
 
+    /// Returns whether segments may be fetched from cache stores.
+    ///
+    /// The leader frees the segments of scopes that its configuration does not use. An instance with
+    /// another configuration could fetch one of them meanwhile.
+    pub fn may_fetch_segments(&self) -> bool {
+        self.staleness() != config_sync::Staleness::Expired
+            && clock::now() >= self.fetches_allowed_from.get()
+    }
+
     /// Returns the newest target version of a model's weights.
     pub fn target_version(&self, model: &id::Model) -> Option<u64> {
         let targets = self.target_versions.borrow();
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -236,7 +236,7 @@
                 match entry.port.free_segments(store.address, epoch, &segments).await {
                     Ok(()) => {
                         log::info!(
-                            store:% = store.id, freed; "cached segments of old weights freed"
+                            store:% = store.id, freed; "unused cached segments freed"
                         );
                     }
                     Err(error) => {
@@ -255,21 +255,29 @@
         store: &id::Upstream,
         now: Millis,
     ) -> Option<(u64, Vec<(String, u64)>)> {
+        let table = entry.table.borrow().clone()?;
         let stores = entry.cache_stores.borrow();
         let contents = stores.contents(store)?;
         let epoch = contents.epoch()?;
         let mut freed = Vec::new();
         for (salt, segments) in contents.segments_by_salt() {
-            let Some((model, version)) = prefix_cache::parse_salt(salt) else {
+            let Some(fields) = prefix_cache::parse_salt(salt) else {
                 continue;
             };
-            let is_in_use = || oldest_version(entry, &model).is_none_or(|oldest| version >= oldest);
-            if segments.is_empty() || is_in_use() {
+            let oldest = oldest_version(entry, &fields.model);
+            let is_version_used = oldest.is_none_or(|oldest| fields.version >= oldest);
+            let is_scope_used = table.cache_scopes.is_used(fields.scope);
+            if segments.is_empty() || (is_version_used && is_scope_used) {
                 self.unused_salts.remove(salt);
                 continue;
             }
             let since = *self.unused_salts.entry(salt.clone()).or_insert(now);
-            if now.since(since) < FREE_DELAY {
+            // Instances that are cut off use scopes of an earlier configuration for some time.
+            let delay = match is_scope_used {
+                true => FREE_DELAY,
+                false => FREE_DELAY + entry.settings.revocation,
+            };
+            if now.since(since) < delay {
                 continue;
             }
             freed.extend(segments.keys().map(|segment| (salt.to_string(), *segment)));
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -67,8 +67,8 @@
     pub model: Option<(&'a id::Model, &'a weights::Targets)>,
     /// Time after a target version was set from which requests must not begin on older weights.
     pub old_weights_limit: Millis,
-    /// The workspace, if it shares cached segments with no other.
-    pub isolated_workspace: Option<&'a id::Workspace>,
+    /// The workspaces with which the request shares cached segments.
+    pub cache_scope: prefix_cache::Scope<'a>,
     /// Tokens of the whole prompt plus the maximum number of output tokens.
     pub tokens: u64,
     /// Ids of the shared segments of the prompt with their sizes in tokens.
@@ -364,7 +364,7 @@
     }
     let shared: u64 = req.segments.iter().map(|(_, tokens)| tokens).sum();
     let unshared = req.tokens.saturating_sub(shared);
-    let salt = prefix_cache::salt(model, version, req.isolated_workspace);
+    let salt = prefix_cache::salt(model, version, req.cache_scope);
     // Expected tokens of the shared segments that the engine does not hold.
     let mut missing = 0.0;
     for (segment, tokens) in req.segments {
--- a/damaskdrift_core/src/prefix_cache/plan.rs
+++ b/damaskdrift_core/src/prefix_cache/plan.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3;
 
 use crate::id;
-use crate::prefix_cache::contents;
+use crate::prefix_cache::{contents, salt, scope};
 use crate::routing;
 use crate::time::Millis;
 
@@ -114,6 +114,23 @@
         self.all.get_mut(id).map(|store| &mut store.contents)
     }
 
+    /// Returns whether a store holds segments of a scope that the configuration now uses and that
+    /// the one before did not use.
+    pub fn hold_returned_scope(&self, before: &scope::Scopes, now: &scope::Scopes) -> bool {
+        for store in self.all.values() {
+            for (salt, segments) in store.contents.segments_by_salt() {
+                let Some(fields) = salt::parse_salt(salt) else {
+                    continue;
+                };
+                let is_returned = now.is_used(fields.scope) && !before.is_used(fields.scope);
+                if is_returned && !segments.is_empty() {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
     /// Returns the expected time to fetch the shared segments, or `None` if none of them is large
     /// enough to be cached or stores do not hold all that are.
     pub fn fetch_time(&self, salt: &str, segments: &[Segment], now: Millis) -> Option<Millis> {
@@ -129,12 +146,22 @@
     }
 
     /// Plans the steps of a prompt that runs under `salt`, and records the saves among them.
-    pub fn plan(&mut self, salt: &Arc<str>, segments: &[Segment], now: Millis) -> Plan {
+    ///
+    /// Without `may_fetch`, segments that stores hold are prefilled.
+    pub fn plan(
+        &mut self,
+        salt: &Arc<str>,
+        segments: &[Segment],
+        may_fetch: bool,
+        now: Millis,
+    ) -> Plan {
         let mut steps = Vec::with_capacity(segments.len());
         for (index, segment) in segments.iter().enumerate() {
             // The last segment is not shared with other requests.
             let is_cacheable = index + 1 < segments.len() && segment.tokens >= MIN_SEGMENT_TOKENS;
-            steps.push(if is_cacheable { self.step(salt, *segment, now) } else { Step::Prefill });
+            let step = if is_cacheable { self.step(salt, *segment, now) } else { Step::Prefill };
+            let is_refused_fetch = matches!(step, Step::Fetch(_)) && !may_fetch;
+            steps.push(if is_refused_fetch { Step::Prefill } else { step });
         }
         Plan { steps }
     }
--- a/damaskdrift_core/src/prefix_cache/salt.rs
+++ b/damaskdrift_core/src/prefix_cache/salt.rs
@@ -3,23 +3,34 @@
 use std::sync::Arc;
 
 use crate::id;
+use crate::prefix_cache::scope;
 
 /// Separates the fields of a salt; model names of upstreams do not contain it.
 const SEPARATOR: char = '|';
 
-/// Returns the salt of segments computed by one version of a model's weights.
-///
-/// An isolated workspace gets its own salts, so it shares segments with no other workspace.
-pub fn salt(model: &id::Model, version: u64, isolated: Option<&id::Workspace>) -> Arc<str> {
-    let workspace = isolated.map_or("", id::Workspace::as_str);
-    Arc::from(format!("{model}{SEPARATOR}{version}{SEPARATOR}{workspace}"))
+/// The fields of a salt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Salt<'a> {
+    /// The model that computed the segments.
+    pub model: id::Model,
+    /// The version of the model's weights.
+    pub version: u64,
+    /// The text of the scope.
+    pub scope: &'a str,
+}
+
+/// Returns the salt of segments that one version of a model's weights computes for the requests of a
+/// scope.
+pub fn salt(model: &id::Model, version: u64, scope: scope::Scope<'_>) -> Arc<str> {
+    Arc::from(format!("{model}{SEPARATOR}{version}{SEPARATOR}{scope}"))
 }
 
-/// Returns the model and version encoded in a salt, or `None` if its second field is not a version.
+/// Returns the fields of a salt, or `None` if its second field is not a version.
 ///
 /// It accepts any text of this form, also if [`salt`] did not build it.
-pub fn parse_salt(salt: &str) -> Option<(id::Model, u64)> {
+pub fn parse_salt(salt: &str) -> Option<Salt<'_>> {
     let mut fields = salt.splitn(3, SEPARATOR);
     let model = id::Model::new(fields.next()?);
-    Some((model, fields.next()?.parse().ok()?))
+    let version = fields.next()?.parse().ok()?;
+    Some(Salt { model, version, scope: fields.next().unwrap_or_default() })
 }
--- a/damaskdrift_core/src/routing/table.rs
+++ b/damaskdrift_core/src/routing/table.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::id;
+use crate::prefix_cache;
 use crate::routing::document;
 
 /// The result of looking up a request by host, path and key.
@@ -27,6 +28,8 @@
     pub limits: document::Limits,
     /// Cache stores in the order of the document.
     pub cache_stores: Vec<document::CacheStore>,
+    /// Scopes within which workspaces share cached segments.
+    pub cache_scopes: prefix_cache::Scopes,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Arc<document::Route>>>,
     services: HashMap<id::Service, document::Service>,
@@ -44,6 +47,8 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let workspaces = document.workspaces.as_deref().unwrap_or_default();
+        let cache_scopes = prefix_cache::Scopes::new(workspaces);
         let keys = document.workspaces.map(|workspaces| {
             let mut keys = HashMap::new();
             for workspace in workspaces {
@@ -59,6 +64,7 @@
             version: document.version,
             limits: document.limits,
             cache_stores: document.cache_stores,
+            cache_scopes,
             hosts,
             services,
             keys,
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -97,7 +97,7 @@
             service: &self.service,
             model: Some((&self.model, &self.targets)),
             old_weights_limit: OLD_WEIGHTS_LIMIT,
-            isolated_workspace: None,
+            cache_scope: prefix_cache::Scope::default(),
             tokens: self.tokens,
             segments: self.segments,
             fetch_time: self.fetch_time,
@@ -436,7 +436,7 @@
 fn restarted_upstream_is_cold_and_holds_no_segments() {
     let mut upstreams = fleet(1);
     let id = id::Upstream::new("u0");
-    let salt = prefix_cache::salt(&id::Model::new("m"), 1, None);
+    let salt = prefix_cache::salt(&id::Model::new("m"), 1, prefix_cache::Scope::default());
     upstreams.get_mut(&id).unwrap().record_segment(&salt, 9, NOW);
     let mut restarted = record("u0", 1);
     restarted.started_at = Some(2);
--- a/damaskdrift_core/tests/contact.rs
+++ b/damaskdrift_core/tests/contact.rs
@@ -6,6 +6,7 @@
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::prefix_cache;
 use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
@@ -64,7 +65,7 @@
         service: &service,
         model: Some((&model, &targets)),
         old_weights_limit: Millis(7_300),
-        isolated_workspace: None,
+        cache_scope: prefix_cache::Scope::default(),
         tokens: 380,
         segments: &[(session, 300)],
         fetch_time: None,
--- a/damaskdrift_core/tests/delayed_load.rs
+++ b/damaskdrift_core/tests/delayed_load.rs
@@ -6,6 +6,7 @@
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::prefix_cache;
 use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
@@ -106,7 +107,7 @@
             service: &self.service,
             model: None,
             old_weights_limit: Millis(0),
-            isolated_workspace: None,
+            cache_scope: prefix_cache::Scope::default(),
             tokens: 0,
             segments: &[],
             fetch_time: None,
--- a/damaskdrift_core/tests/notice.rs
+++ b/damaskdrift_core/tests/notice.rs
@@ -6,6 +6,7 @@
 
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
+use damaskdrift_core::prefix_cache;
 use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
@@ -99,7 +100,7 @@
         model: None,
         old_weights_limit: Millis(0),
         software: rollout::Selection::Any,
-        isolated_workspace: None,
+        cache_scope: prefix_cache::Scope::default(),
         tokens: 0,
         segments: &[],
         fetch_time: None,
--- a/damaskdrift_core/tests/prefix_cache.rs
+++ b/damaskdrift_core/tests/prefix_cache.rs
@@ -54,17 +54,17 @@
     let mut stores = stores(&[store(1, 100_000)]);
     let salt: Arc<str> = Arc::from("m|1|");
     let address = store(1, 0).address;
-    let first = stores.plan(&salt, &prompt(7), NOW);
+    let first = stores.plan(&salt, &prompt(7), true, NOW);
     assert_eq!(first.steps, [prefix_cache::Step::Save(address), prefix_cache::Step::Prefill]);
-    let second = stores.plan(&salt, &prompt(7), NOW + Millis(50));
+    let second = stores.plan(&salt, &prompt(7), true, NOW + Millis(50));
     assert_eq!(second.steps, [prefix_cache::Step::Prefill, prefix_cache::Step::Prefill]);
     let contents = stores.contents_mut(&id::Upstream::new("s1")).unwrap();
     contents.update(&page(1, 2, vec![stored("m|1|", 7, 6_400)]), NOW, NOW);
-    assert!(!stores.plan(&salt, &prompt(7), NOW).fetches(), "half of the segment");
+    assert!(!stores.plan(&salt, &prompt(7), true, NOW).fetches(), "half of the segment");
     let contents = stores.contents_mut(&id::Upstream::new("s1")).unwrap();
     contents.update(&page(1, 3, vec![stored("m|1|", 7, 12_800)]), NOW, NOW);
-    assert!(stores.plan(&salt, &prompt(7), NOW).fetches());
-    assert!(!stores.plan(&Arc::from("m|2|"), &prompt(7), NOW).fetches(), "other weights");
+    assert!(stores.plan(&salt, &prompt(7), true, NOW).fetches());
+    assert!(!stores.plan(&Arc::from("m|2|"), &prompt(7), true, NOW).fetches(), "other weights");
 }
 
 /// Guards against a fetch under an outdated entry of a restarted store while another instance saves
@@ -81,8 +81,8 @@
     for step in 0..50 {
         let now = NOW + Millis(step * 100);
         aware.contents_mut(&id).unwrap().update(&page(2, 1, vec![]), now, now);
-        let fetches = unaware.plan(&salt, &prompt(7), now).fetches();
-        let saves = aware.plan(&salt, &prompt(7), now).saves();
+        let fetches = unaware.plan(&salt, &prompt(7), true, now).fetches();
+        let saves = aware.plan(&salt, &prompt(7), true, now).saves();
         assert!(!(fetches && saves), "at {now}");
         if saves {
             return;
@@ -100,7 +100,7 @@
     let salt: Arc<str> = Arc::from("m|1|");
     let mut used = BTreeSet::new();
     for segment in 0..20 {
-        let plan = stores.plan(&salt, &prompt(segment), NOW);
+        let plan = stores.plan(&salt, &prompt(segment), true, NOW);
         let prefix_cache::Step::Save(address) = plan.steps[0] else {
             panic!("segment {segment} is not saved");
         };
@@ -120,7 +120,10 @@
     let (mut a, mut b) = (stores(&records), stores(&records));
     let salt: Arc<str> = Arc::from("m|1|");
     for segment in 0..50 {
-        assert_eq!(a.plan(&salt, &prompt(segment), NOW), b.plan(&salt, &prompt(segment), NOW));
+        assert_eq!(
+            a.plan(&salt, &prompt(segment), true, NOW),
+            b.plan(&salt, &prompt(segment), true, NOW)
+        );
     }
 }
 
@@ -193,18 +196,133 @@
 #[case("m", None)]
 #[case("other salt", None)]
 fn version_is_parsed_from_salt(#[case] salt: &str, #[case] version: Option<u64>) {
-    assert_eq!(prefix_cache::parse_salt(salt).map(|(_, version)| version), version);
+    assert_eq!(prefix_cache::parse_salt(salt).map(|fields| fields.version), version);
+}
+
+fn scopes(isolated: &[&str]) -> prefix_cache::Scopes {
+    let mut workspaces = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        workspaces.push(routing::Workspace {
+            id: id::Workspace::new(name),
+            priority: None,
+            is_isolated: isolated.contains(&name),
+            keys: Vec::new(),
+        });
+    }
+    prefix_cache::Scopes::new(&workspaces)
+}
+
+fn salt(scopes: &prefix_cache::Scopes, workspace: Option<&str>) -> Arc<str> {
+    let workspace = workspace.map(id::Workspace::new);
+    prefix_cache::salt(&id::Model::new("m"), 1, scopes.scope(workspace.as_ref()))
 }
 
 /// Guards against an isolated workspace that shares cached segments with other workspaces.
 #[rstest]
 fn isolated_workspaces_share_no_salt() {
-    let model = id::Model::new("m");
-    let (a, b) = (id::Workspace::new("a"), id::Workspace::new("b"));
-    let salts = [
-        prefix_cache::salt(&model, 1, None),
-        prefix_cache::salt(&model, 1, Some(&a)),
-        prefix_cache::salt(&model, 1, Some(&b)),
-    ];
+    let scopes = scopes(&["a", "b"]);
+    let salts = [salt(&scopes, None), salt(&scopes, Some("a")), salt(&scopes, Some("b"))];
     assert_eq!(salts.iter().collect::<BTreeSet<_>>().len(), 3);
+    assert_eq!(salt(&scopes, Some("c")), salt(&scopes, None));
+    assert_eq!(salt(&scopes, Some("c")), salt(&scopes, Some("d")));
+}
+
+/// A segment that a workspace has computed.
+struct Computed<'a> {
+    salt: Arc<str>,
+    maker: Option<&'a str>,
+    /// The workspaces that were isolated then.
+    isolated: Vec<&'a str>,
+}
+
+/// Guards against segments that others use although the workspace that computed them has become
+/// isolated since, or that a workspace computed while it was isolated.
+///
+/// Each workspace computes a segment under each configuration of a series; later requests find those
+/// under their own salt. A configuration is given by the names of the isolated workspaces, or `-`.
+#[rstest]
+#[case::becomes_isolated("- a")]
+#[case::another_one_too("b a,b")]
+#[case::another_one_instead("b a")]
+#[case::is_no_longer_isolated("a -")]
+#[case::becomes_isolated_again("a - a")]
+#[case::many_changes("- a a,b b b,c a,c c - a")]
+fn segments_are_not_shared_across_a_change_of_isolation(#[case] series: &str) {
+    let workspaces = [None, Some("a"), Some("b"), Some("c"), Some("d")];
+    let mut computed: Vec<Computed<'_>> = Vec::new();
+    for names in series.split(' ') {
+        let isolated: Vec<_> = names.split(',').collect();
+        let scopes = scopes(&isolated);
+        for user in workspaces {
+            let found = salt(&scopes, user);
+            for segment in &computed {
+                let is_isolated = |workspace: Option<&str>| {
+                    workspace
+                        .is_some_and(|w| isolated.contains(&w) || segment.isolated.contains(&w))
+                };
+                let maker = segment.maker;
+                let is_foreign = user != maker && (is_isolated(user) || is_isolated(maker));
+                assert!(segment.salt != found || !is_foreign, "{user:?} uses one of {maker:?}");
+            }
+        }
+        for maker in workspaces {
+            let salt = salt(&scopes, maker);
+            computed.push(Computed { salt, maker, isolated: isolated.clone() });
+        }
+    }
+}
+
+/// Guards against names of workspaces that look like another scope.
+#[rstest]
+#[case("")]
+#[case("s|0000000000000000")]
+#[case("w|a")]
+#[case("|")]
+fn names_of_workspaces_give_no_other_scope(#[case] name: &str) {
+    let isolated = routing::Workspace {
+        id: id::Workspace::new(name),
+        priority: None,
+        is_isolated: true,
+        keys: Vec::new(),
+    };
+    let odd = salt(&prefix_cache::Scopes::new(&[isolated]), Some(name));
+    for isolated in [&[][..], &["a"]] {
+        let scopes = scopes(isolated);
+        for workspace in [None, Some("a"), Some("b")] {
+            assert_ne!(odd, salt(&scopes, workspace));
+        }
+    }
+}
+
+/// Guards against segments in cache stores that are freed while requests may use them, or kept
+/// although no request can use them any longer.
+#[rstest]
+#[case::empty_set("s|0000000000000000", &[], true)]
+#[case::another_set("s|0000000000000000", &["a"], false)]
+#[case::isolated("w|a", &["a"], true)]
+#[case::no_longer_isolated("w|a", &["b"], false)]
+#[case::form_of_earlier_releases("a", &["b"], true)]
+#[case::empty("", &["b"], true)]
+fn scopes_are_used_by_the_configuration(
+    #[case] scope: &str,
+    #[case] isolated: &[&str],
+    #[case] want: bool,
+) {
+    assert_eq!(scopes(isolated).is_used(scope), want);
+}
+
+/// Guards against a fetch of segments that a leader with an earlier configuration frees, after a
+/// scope is used again.
+#[rstest]
+fn returned_scope_is_noticed_if_its_segments_are_held() {
+    let (none, a) = (scopes(&[]), scopes(&["a"]));
+    let mut stores = stores(&[store(1, 100_000)]);
+    assert!(!stores.hold_returned_scope(&a, &none), "no segments are held");
+    let held = page(1, 2, vec![stored(&salt(&none, None), 7, 12_800)]);
+    stores.contents_mut(&store(1, 0).id).unwrap().update(&held, NOW, NOW);
+    assert!(stores.hold_returned_scope(&a, &none));
+    assert!(!stores.hold_returned_scope(&none, &none));
+    assert!(!stores.hold_returned_scope(&none, &a));
+    assert!(stores.plan(&salt(&none, None), &prompt(7), true, NOW).fetches());
+    assert!(!stores.plan(&salt(&none, None), &prompt(7), false, NOW).fetches());
 }
