Limit the heads of responses to 64 kB

Cause: a response head was read up to the default of the HTTP library, 408 kB on each connection, whatever the number of connections.

Evidence: 300 requests at once at a server that sends one header without end took the instance to 148 MB; small machines have 110 MB. With many short headers it stays below the limit.

Change: a head, and the read buffer of a connection, has at most 64 kB, in both request paths.

--- a/damaskdrift/src/entry/client.rs
+++ b/damaskdrift/src/entry/client.rs
@@ -15,6 +15,7 @@
 use tokio::task;
 
 use crate::entry::pool;
+use crate::upstream;
 
 /// Timeout for opening a connection. The network responds within a few milliseconds unless a packet
 /// was lost, which is retransmitted only after 1 s.
@@ -73,7 +74,9 @@
             Err(_) => return Err(Failure::NotSent(format!("connecting to {address} timed out"))),
         };
         stream.set_nodelay(true).map_err(|error| not_sent(&error))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut http = http1::Builder::new();
+        http.max_buf_size(upstream::MAX_HEAD_BYTES);
+        let handshake = http.handshake(TokioIo::new(stream)).await;
         let (sender, conn) = handshake.map_err(|error| not_sent(&error))?;
         task::spawn_local(async move {
             if let Err(error) = conn.await {
--- a/damaskdrift/src/upstream/connection.rs
+++ b/damaskdrift/src/upstream/connection.rs
@@ -22,6 +22,9 @@
 use crate::upstream::counting_stream::CountingStream;
 use crate::upstream::failure::Failure;
 
+/// Maximum size of the head of a response, and of the read buffer of a connection. A faulty upstream
+/// may send a head without end on all connections at once.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Largest load report accepted.
 const MAX_LOAD_REPORT_BYTES: usize = 64 << 10;
 
@@ -102,7 +105,9 @@
         stream.set_nodelay(true).map_err(|error| failed(&error))?;
         let written = sync::Arc::new(AtomicU64::new(0));
         let io = TokioIo::new(CountingStream::new(stream, written.clone()));
-        let (sender, conn) = http1::handshake(io).await.map_err(|error| failed(&error))?;
+        let mut http = http1::Builder::new();
+        http.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, conn) = http.handshake(io).await.map_err(|error| failed(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = conn.await {
                 log::debug!("connection to upstream {address} failed: {error}");
--- a/damaskdrift/src/upstream/mod.rs
+++ b/damaskdrift/src/upstream/mod.rs
@@ -8,7 +8,7 @@
 mod rank;
 
 pub use body::{next_chunk, read_all};
-pub use connection::{Connection, read_load};
+pub use connection::{Connection, MAX_HEAD_BYTES, read_load};
 pub use failure::Failure;
 pub use pool::{Pool, Target};
 pub use rank::rank;
