Refuse in a drain with a deadline what it could cut off

What callers saw: with `drain.deadline_ms` set, calls that were accepted late in a drain ended with their connection when the deadline was over, so that nobody could know whether they ran.

Without a deadline nothing changes.

--- a/damaskdrift/src/caller/completion.rs
+++ b/damaskdrift/src/caller/completion.rs
@@ -21,7 +21,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{request_id, response, resume};
 use crate::context;
-use crate::control::{cache, freshness, observe, roster, route, slots};
+use crate::control::{cache, freshness, lifecycle, observe, roster, route, slots};
 use crate::upstream;
 
 /// Header with the priority of a request, from 0 (highest) to 3.
@@ -94,6 +94,8 @@
 
     async fn run_attempts(mut self, progress: Progress) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
+        // A prompt may run again, since it changes nothing.
+        lifecycle::check_drain(&self.cx, true)?;
         let (mut attempts, mut placement) = self.prepare(&progress).await?;
         loop {
             let reserved = attempts.reserve().await?;
--- a/damaskdrift/src/caller/service.rs
+++ b/damaskdrift/src/caller/service.rs
@@ -20,7 +20,7 @@
 use crate::caller::request::{self, Caller};
 use crate::caller::{at_most_once, request_id, response, route};
 use crate::context;
-use crate::control::{freshness, observe, roster, slots};
+use crate::control::{freshness, lifecycle, observe, roster, slots};
 use crate::upstream;
 
 /// Largest response body of a service.
@@ -91,7 +91,10 @@
     pub async fn run(self) -> Result<warp::reply::Response, Refusal> {
         freshness::check(&self.cx)?;
         let policy = self.policy()?;
-        if route::is_non_idempotent(policy, self.method.as_str(), self.path.path()) {
+        let must_run_once =
+            route::is_non_idempotent(policy, self.method.as_str(), self.path.path());
+        lifecycle::check_drain(&self.cx, !must_run_once)?;
+        if must_run_once {
             let key = self.idempotency_key()?.to_owned();
             return at_most_once::run(self, &key).await.map(Response::into_response);
         }
--- a/damaskdrift/src/control/lifecycle.rs
+++ b/damaskdrift/src/control/lifecycle.rs
@@ -1,8 +1,11 @@
 //! Lifecycle of an instance: starting, serving, draining, stopped.
 
 use std::future::Future;
+use std::sync;
 
 use damaskdrift_core::code;
+use damaskdrift_core::shutdown;
+use damaskdrift_core::time::Millis;
 use derive_more::Display;
 use tokio::sync::watch;
 
@@ -25,7 +28,11 @@
 
 /// Publishes the current phase to all tasks of the instance.
 #[derive(Debug)]
-pub struct Signal(watch::Sender<Phase>);
+pub struct Signal {
+    phase: watch::Sender<Phase>,
+    /// Set once the instance drains, if it then has a deadline.
+    shutdown: sync::OnceLock<shutdown::Plan>,
+}
 
 /// State machine of the lifecycle, owned by the task that runs the instance.
 ///
@@ -51,19 +58,19 @@
 
 impl Default for Signal {
     fn default() -> Self {
-        Self(watch::Sender::new(Phase::Starting))
+        Self { phase: watch::Sender::new(Phase::Starting), shutdown: sync::OnceLock::new() }
     }
 }
 
 impl Signal {
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
-        *self.0.borrow()
+        *self.phase.borrow()
     }
 
     /// Waits until the instance is in `phase` or a later one.
     pub async fn reached(&self, phase: Phase) {
-        let mut rx = self.0.subscribe();
+        let mut rx = self.phase.subscribe();
         // The sender lives as long as the context, so the wait cannot fail.
         let _ = rx.wait_for(|current| *current >= phase).await;
     }
@@ -72,7 +79,7 @@
 impl<'a, S> Lifecycle<'a, S> {
     fn enter<T>(self, state: T, phase: Phase) -> Lifecycle<'a, T> {
         log::info!("instance is {phase}");
-        self.signal.0.send_replace(phase);
+        self.signal.phase.send_replace(phase);
         Lifecycle { signal: self.signal, _state: state }
     }
 }
@@ -90,8 +97,12 @@
 }
 
 impl<'a> Lifecycle<'a, Serving> {
-    /// Enters the draining phase; called when the instance is ordered to stop.
-    pub fn drain(self) -> Lifecycle<'a, Draining> {
+    /// Enters the draining phase; called when the instance is ordered to stop. `shutdown` is absent
+    /// if the instance waits for all running requests.
+    pub fn drain(self, shutdown: Option<shutdown::Plan>) -> Lifecycle<'a, Draining> {
+        if let Some(plan) = shutdown {
+            self.signal.shutdown.get_or_init(|| plan);
+        }
         self.enter(Draining, Phase::Draining)
     }
 }
@@ -104,6 +115,26 @@
     }
 }
 
+/// Checks that a request may be sent to an upstream although the instance may drain: one that the
+/// drain deadline could cut off is refused.
+///
+/// # Errors
+///
+/// Returns [`code::Code::Draining`] when another instance has to take the request.
+pub fn check_drain(cx: &context::Context, may_run_again: bool) -> Result<(), code::Code> {
+    let Some(plan) = cx.lifecycle.shutdown.get() else {
+        return Ok(());
+    };
+    let limits = cx.limits.load();
+    let timeouts = cx.upstreams.timeouts();
+    let longest = Millis(limits.queue_timeout_ms)
+        + Millis::from(timeouts.connect)
+        + Millis::from(timeouts.response);
+    let now = cx.now();
+    let is_admitted = plan.admits(Some(now + longest), may_run_again, now);
+    if is_admitted { Ok(()) } else { Err(code::Code::Draining) }
+}
+
 /// Checks that a load balancer may send requests here; `/readyz` returns the result.
 ///
 /// # Errors
--- a/damaskdrift/src/serve.rs
+++ b/damaskdrift/src/serve.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use damaskdrift_core::code;
+use damaskdrift_core::shutdown;
+use damaskdrift_core::time::Millis;
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -82,7 +84,10 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let draining = serving.drain();
+    let deadline_ms = cx.drain.load().deadline_ms;
+    let now = cx.now();
+    let plan = deadline_ms.map(|ms| shutdown::Plan::exiting_at(now, now + Millis(ms)));
+    let draining = serving.drain(plan);
     draining.finish(finish_requests(&cx, callers)).await;
     control::slots::release_leases(&cx).await;
     control::driver::release(&cx).await;
--- a/damaskdrift_core/src/shutdown/plan.rs
+++ b/damaskdrift_core/src/shutdown/plan.rs
@@ -23,7 +23,12 @@
 impl Plan {
     /// Creates the plan of a stop that begins now, for an instance that is killed after `grace`.
     pub fn new(now: Millis, grace: Millis) -> Self {
-        Self { began_at: now, exits_at: now + (grace - EXIT_MARGIN) }
+        Self::exiting_at(now, now + (grace - EXIT_MARGIN))
+    }
+
+    /// Creates the plan of a stop that begins now, for an instance that exits at the given time.
+    pub fn exiting_at(now: Millis, exits_at: Millis) -> Self {
+        Self { began_at: now, exits_at }
     }
 
     /// Returns the time at which the instance exits, even if requests are unfinished.
--- a/damaskdrift_lab/tests/drain.rs
+++ b/damaskdrift_lab/tests/drain.rs
@@ -145,6 +145,43 @@
     assert_eq!(fleet.instances[0].process.wait(EXIT_TIMEOUT).await.expect("the instance exits"), 0);
 }
 
+// Guards against calls that are accepted during a drain with a deadline and cut off at its end, so
+// that their callers cannot know whether they ran.
+#[tokio::test]
+async fn calls_that_the_deadline_could_cut_off_are_refused() {
+    let fleet = builder()
+        .with_setting("drain", "accept_ms", 2_500)
+        .with_setting("drain", "deadline_ms", 3_500)
+        .with_setting("limits", "queue_timeout_ms", 200)
+        .with_setting("limits", "connect_timeout_ms", 200)
+        .with_setting("limits", "upstream_timeout_ms", 3_000);
+    let mut fleet = fleet.start().await.expect("the fleet starts");
+    let http = fleet.http.clone();
+    fleet.instances[0].process.terminate().expect("the signal is sent");
+    let mut calls = Vec::new();
+    for n in 0..12 {
+        let key = format!("k{n}");
+        let call = service_call(&fleet, &key);
+        let http = http.clone();
+        calls.push((key, tokio::spawn(async move { http.send(call).await })));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let mut refused = 0;
+    for (key, call) in calls {
+        let response = call.await.expect("the task does not panic").expect("a response");
+        let runs = fleet.services[0].runs().await.expect("the service responds");
+        match runs.get(&key) {
+            Some(_) => assert_eq!(response.status, 200, "{key}: {}", response.text()),
+            None => {
+                assert_eq!(response.status, 503, "{key}: {}", response.text());
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused > 0, "no call was refused");
+    assert_eq!(fleet.instances[0].process.wait(EXIT_TIMEOUT).await.expect("the instance exits"), 0);
+}
+
 // Guards against a stop that exceeds the deadline of the settings (`drain.deadline_ms`).
 #[tokio::test]
 async fn deadline_ends_the_drain() {
