Count a list that has arrived as the response of the store

While a list is awaited, it is requested again after 0.5 s. If the task ran late, both could be ready, and half of the time the list counted as unanswered: one more call, and a return of the store that had not been away. Found in reading the change again; no run has shown it. Also names and an expression that read better.

--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -104,6 +104,8 @@
         });
         let may_repeat = was_followed && lists.len() < MAX_CONCURRENT_LISTS;
         tokio::select! {
+            // A response that has arrived counts, however late this task runs.
+            biased;
             Some(result) = lists.next() => return result,
             () = tokio::time::sleep(LIST_REPEAT_INTERVAL), if may_repeat => {
                 record_unreached(reachability, requested_at, "no response yet");
@@ -415,7 +417,7 @@
         && entry
             .cache_stores
             .borrow()
-            .hold_returned_scope(&before.cache_scopes, &table.cache_scopes)
+            .holds_returned_scope(&before.cache_scopes, &table.cache_scopes)
     {
         // A leader that still has an earlier configuration may free these segments.
         entry.fetches_allowed_from.set(clock::now() + entry.settings.revocation);
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -273,10 +273,8 @@
             }
             let since = *self.unused_salts.entry(salt.clone()).or_insert(now);
             // Instances that are cut off use scopes of an earlier configuration for some time.
-            let delay = match is_scope_used {
-                true => FREE_DELAY,
-                false => FREE_DELAY + entry.settings.revocation,
-            };
+            let delay =
+                if is_scope_used { FREE_DELAY } else { FREE_DELAY + entry.settings.revocation };
             if now.since(since) < delay {
                 continue;
             }
--- a/damaskdrift_core/src/prefix_cache/plan.rs
+++ b/damaskdrift_core/src/prefix_cache/plan.rs
@@ -116,7 +116,7 @@
 
     /// Returns whether a store holds segments of a scope that the configuration now uses and that
     /// the one before did not use.
-    pub fn hold_returned_scope(&self, before: &scope::Scopes, now: &scope::Scopes) -> bool {
+    pub fn holds_returned_scope(&self, before: &scope::Scopes, now: &scope::Scopes) -> bool {
         for store in self.all.values() {
             for (salt, segments) in store.contents.segments_by_salt() {
                 let Some(fields) = salt::parse_salt(salt) else {
--- a/damaskdrift_core/tests/prefix_cache.rs
+++ b/damaskdrift_core/tests/prefix_cache.rs
@@ -317,12 +317,12 @@
 fn returned_scope_is_noticed_if_its_segments_are_held() {
     let (none, a) = (scopes(&[]), scopes(&["a"]));
     let mut stores = stores(&[store(1, 100_000)]);
-    assert!(!stores.hold_returned_scope(&a, &none), "no segments are held");
+    assert!(!stores.holds_returned_scope(&a, &none), "no segments are held");
     let held = page(1, 2, vec![stored(&salt(&none, None), 7, 12_800)]);
     stores.contents_mut(&store(1, 0).id).unwrap().update(&held, NOW, NOW);
-    assert!(stores.hold_returned_scope(&a, &none));
-    assert!(!stores.hold_returned_scope(&none, &none));
-    assert!(!stores.hold_returned_scope(&none, &a));
+    assert!(stores.holds_returned_scope(&a, &none));
+    assert!(!stores.holds_returned_scope(&none, &none));
+    assert!(!stores.holds_returned_scope(&none, &a));
     assert!(stores.plan(&salt(&none, None), &prompt(7), true, NOW).fetches());
     assert!(!stores.plan(&salt(&none, None), &prompt(7), false, NOW).fetches());
 }
