Limit heads with interim responses, yield while reading, reset given-up exchanges

Change: one adapter around the socket of a client connection (entry::client_stream) counts the bytes and interim responses until the response head (64 kB, 32; core response_head), and resets the connection if it is dropped before its response was read to its end. stream::FairStream lets other tasks run after 16 kB read; callers, readiness, metrics, upstreams, stores and connections between instances use it. Metrics response_limits_exceeded and connections_reset.

--- a/damaskdrift/src/entry/client.rs
+++ b/damaskdrift/src/entry/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the platform store, upstreams and cache stores.
 
 use std::net;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task;
 
+use crate::entry::client_stream;
 use crate::entry::pool;
 use crate::upstream;
 
@@ -52,6 +54,7 @@
 #[derive(Debug)]
 pub struct Conn {
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    exchange: Rc<client_stream::Exchange>,
 }
 
 /// An HTTP client that reuses connections from a pool.
@@ -76,6 +79,8 @@
         stream.set_nodelay(true).map_err(|error| not_sent(&error))?;
         let mut http = http1::Builder::new();
         http.max_buf_size(upstream::MAX_HEAD_BYTES);
+        let exchange = Rc::<client_stream::Exchange>::default();
+        let stream = client_stream::ClientStream::new(stream, exchange.clone());
         let handshake = http.handshake(TokioIo::new(stream)).await;
         let (sender, conn) = handshake.map_err(|error| not_sent(&error))?;
         task::spawn_local(async move {
@@ -84,21 +89,28 @@
             }
         });
         metrics::counter!("connections_opened").increment(1);
-        Ok(Self { sender })
+        Ok(Self { sender, exchange })
     }
 
     /// Sends a request and waits for the head of the response.
     ///
+    /// The connection is reset if it is dropped before [`complete`](Self::complete) is called, so that
+    /// a request that was given up does not arrive later.
+    ///
     /// # Errors
     ///
     /// Returns a failure that says whether the request may have been received.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        self.exchange.begin();
         match self.sender.try_send_request(req).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
                 // hyper returns the request if it has written none of it.
                 let is_not_sent = error.take_message().is_some();
-                let reason = error.into_error().to_string();
+                let reason = match self.exchange.exceeded() {
+                    Some(limit) => limit.to_string(),
+                    None => error.into_error().to_string(),
+                };
                 Err(if is_not_sent {
                     Failure::NotSent(reason)
                 } else {
@@ -107,6 +119,12 @@
             }
         }
     }
+
+    /// Records that the response was read to its end, after which the connection closes in an
+    /// orderly way.
+    pub fn complete(&self) {
+        self.exchange.complete();
+    }
 }
 
 impl Client {
@@ -136,6 +154,7 @@
             let (parts, body) = conn.send(req).await?.into_parts();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|error| Failure::Unconfirmed(error.to_string()))?.to_bytes();
+            conn.complete();
             // Responses to calls name no request. If a refusal were sent again, it would be taken for
             // the response to the next request on this connection.
             if !REFUSALS.contains(&parts.status) {
--- a/damaskdrift/src/entry/listener.rs
+++ b/damaskdrift/src/entry/listener.rs
@@ -22,6 +22,7 @@
 use crate::entry::forward;
 use crate::entry::relay;
 use crate::entry::state;
+use crate::stream::FairStream;
 
 /// Idle timeout of a caller's connection until a configuration sets one.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(15_000);
@@ -80,7 +81,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from(idle_timeout))
         .max_buf_size(buffer_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(FairStream::new(stream)), service);
     let mut conn = std::pin::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
@@ -131,7 +132,7 @@
         let conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from(DEFAULT_IDLE_TIMEOUT))
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(FairStream::new(stream)), service);
         if let Err(error) = conn.await {
             log::debug!(cause:% = error; "readiness or metrics connection failed");
         }
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -4,6 +4,7 @@
 
 mod cache_stores;
 pub mod client;
+mod client_stream;
 mod clock;
 mod event_stream;
 mod follower;
--- a/damaskdrift/src/entry/peers/link.rs
+++ b/damaskdrift/src/entry/peers/link.rs
@@ -240,7 +240,7 @@
 }
 
 async fn send(
-    stream: &mut WebSocketStream<TcpStream>,
+    stream: &mut WebSocketStream<socket::Stream>,
     frame: &message::Frame,
 ) -> Result<(), Error> {
     with_send_timeout(socket::send(stream, frame)).await
@@ -248,7 +248,7 @@
 
 /// Queues a frame that is sent together with the next one.
 async fn feed(
-    stream: &mut WebSocketStream<TcpStream>,
+    stream: &mut WebSocketStream<socket::Stream>,
     frame: &message::Frame,
 ) -> Result<(), Error> {
     with_send_timeout(socket::feed(stream, frame)).await
--- a/damaskdrift/src/entry/pool.rs
+++ b/damaskdrift/src/entry/pool.rs
@@ -56,6 +56,7 @@
     /// The connection is closed instead if the server announced that. If the pool already holds the
     /// maximum for the address, the connection that has been idle for longest is closed.
     pub fn put(&self, address: net::SocketAddr, conn: client::Conn, parts: &response::Parts) {
+        conn.complete();
         if conn.sender.is_closed() || announces_close(parts) {
             return;
         }
--- a/damaskdrift/src/lib.rs
+++ b/damaskdrift/src/lib.rs
@@ -13,4 +13,5 @@
 mod platform;
 mod serve;
 mod settings;
+pub mod stream;
 mod upstream;
--- a/damaskdrift/src/peer/link.rs
+++ b/damaskdrift/src/peer/link.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use damaskdrift_core::id;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time;
 
@@ -93,7 +92,7 @@
 async fn open(
     cx: &sync::Arc<context::Context>,
     peer: &id::Instance,
-) -> Result<socket::Socket<TcpStream>, Error> {
+) -> Result<socket::Socket<socket::Stream>, Error> {
     let Some(address) = cx.membership().address(peer) else {
         return Err(Error::Unknown(peer.clone()));
     };
@@ -105,7 +104,7 @@
 
 /// Exchanges requests and replies until the connection fails, and returns the error that ended it.
 async fn exchange(
-    mut socket: socket::Socket<TcpStream>,
+    mut socket: socket::Socket<socket::Stream>,
     first: Call,
     rx: &mut mpsc::Receiver<Call>,
 ) -> Error {
--- a/damaskdrift/src/peer/listener.rs
+++ b/damaskdrift/src/peer/listener.rs
@@ -74,7 +74,7 @@
 async fn handle_requests(
     cx: &sync::Arc<context::Context>,
     peer: &id::Instance,
-    socket: &mut socket::Socket<TcpStream>,
+    socket: &mut socket::Socket<socket::Stream>,
 ) -> Error {
     let (tx, mut rx) = mpsc::channel(QUEUE_LEN);
     loop {
--- a/damaskdrift/src/peer/socket.rs
+++ b/damaskdrift/src/peer/socket.rs
@@ -16,12 +16,16 @@
 use crate::context;
 use crate::peer::Error;
 use crate::peer::message;
+use crate::stream::FairStream;
 
 /// Timeout for connecting, including the handshake.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Read buffer of a connection; heartbeats are a few hundred bytes.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
+/// Stream of a connection between instances.
+pub type Stream = FairStream<TcpStream>;
+
 /// Connection on which both sides have exchanged [`message::Hello`].
 #[derive(Debug)]
 pub struct Socket<S> {
@@ -39,7 +43,7 @@
     cx: &context::Context,
     peer: &id::Instance,
     address: net::SocketAddr,
-) -> Result<Socket<TcpStream>, Error> {
+) -> Result<Socket<Stream>, Error> {
     let open = async {
         let stream = connect_websocket(address).await?;
         Socket::handshake(cx, stream).await
@@ -56,7 +60,7 @@
 /// # Errors
 ///
 /// Returns why the connection cannot be used.
-pub async fn accept(cx: &context::Context, tcp: TcpStream) -> Result<Socket<TcpStream>, Error> {
+pub async fn accept(cx: &context::Context, tcp: TcpStream) -> Result<Socket<Stream>, Error> {
     let open = async {
         let stream = accept_websocket(tcp).await?;
         Socket::handshake(cx, stream).await
@@ -73,12 +77,11 @@
 /// # Errors
 ///
 /// Returns why no connection was made.
-pub async fn connect_websocket(
-    address: net::SocketAddr,
-) -> Result<WebSocketStream<TcpStream>, Error> {
+pub async fn connect_websocket(address: net::SocketAddr) -> Result<WebSocketStream<Stream>, Error> {
     let tcp = TcpStream::connect(address).await.map_err(|error| unreachable(&error))?;
     tcp.set_nodelay(true).map_err(|error| unreachable(&error))?;
     let url = format!("ws://{address}/");
+    let tcp = FairStream::new(tcp);
     let (stream, _) = tokio_tungstenite::client_async_with_config(url, tcp, Some(config()))
         .await
         .map_err(|error| from_websocket(&error))?;
@@ -90,9 +93,9 @@
 /// # Errors
 ///
 /// Returns why the connection cannot be used.
-pub async fn accept_websocket(tcp: TcpStream) -> Result<WebSocketStream<TcpStream>, Error> {
+pub async fn accept_websocket(tcp: TcpStream) -> Result<WebSocketStream<Stream>, Error> {
     tcp.set_nodelay(true).map_err(|error| unreachable(&error))?;
-    tokio_tungstenite::accept_async_with_config(tcp, Some(config()))
+    tokio_tungstenite::accept_async_with_config(FairStream::new(tcp), Some(config()))
         .await
         .map_err(|error| from_websocket(&error))
 }
--- /dev/null
+++ b/damaskdrift/src/stream/mod.rs
@@ -0,0 +1,5 @@
+//! Adapters around the sockets of connections.
+
+mod fair;
+
+pub use fair::FairStream;
--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod placement;
 pub mod prefix_cache;
 pub mod quarantine;
+pub mod response_head;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
