Record quarantined segments in the platform's store

Change: the leader writes the set of quarantined segments under damaskdrift/quarantine when the set changes, with conditions on its leadership and on the record's revision. Instances apply it from their first list and from changes. The record holds the time left at the time of writing and no clock time; live instances' knowledge goes first. New weights of the model or a completed rollout of the service let one instance test a segment early, at most twice. An unreadable record changes nothing, is logged, and is replaced.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -132,7 +132,8 @@
     }
 
     async fn run_attempts(&mut self) -> Result<Response<relay::Body>, refusal::Refusal> {
-        quarantine::admit(self.entry, &self.shared_segments)?;
+        let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
+        quarantine::admit(self.entry, &self.service.id, model, &self.shared_segments)?;
         let mut last_reason = String::new();
         loop {
             if let Some(refusal) = self.entry.quarantine.check(&self.shared_segments) {
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod pool;
 pub mod port;
 mod quarantine;
+mod quarantine_record;
 mod refusal;
 mod relay;
 mod retry;
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -8,6 +8,7 @@
 use damaskdrift_core::config_sync;
 use damaskdrift_core::id;
 use damaskdrift_core::membership;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use futures_util::StreamExt as _;
@@ -18,6 +19,7 @@
 use crate::entry::clock;
 use crate::entry::follower;
 use crate::entry::port;
+use crate::entry::quarantine_record;
 use crate::entry::state;
 use crate::peer::message;
 
@@ -52,6 +54,9 @@
 /// older than the target version that it finds. Within it, instances that have been running report
 /// when the version was set.
 const UNKNOWN_TARGET_ALLOWANCE: Millis = Millis(2_500);
+/// Time after the completion of a rollout by which upstreams with the old software have ended. They
+/// stop when the status is written.
+const OLD_SOFTWARE_END: Millis = Millis(1_000);
 
 /// Reason to stop following relays.
 enum Interrupted {
@@ -308,6 +313,7 @@
     out_of_service: BTreeSet<id::FailureDomain>,
     rollouts: BTreeSet<id::Service>,
     has_leader: bool,
+    has_quarantine: bool,
 }
 
 /// Applies items of the store and returns what they list.
@@ -363,8 +369,19 @@
                 rollouts.set_order(service, order, clock::now(), rng);
             }
             port::Change::RolloutStatus(service, status) => {
+                let is_completed = status
+                    .as_ref()
+                    .is_some_and(|status| status.state == rollout::TrialState::Completed);
+                if is_completed && source == Source::Changes {
+                    let from = clock::now() + OLD_SOFTWARE_END;
+                    entry.quarantine.record_new_software(service.clone(), from);
+                }
                 entry.rollouts.borrow_mut().set_status(service, status, clock::now());
             }
+            port::Change::Quarantine(record) => {
+                listed.has_quarantine = record.is_some();
+                quarantine_record::apply(entry, record.as_ref());
+            }
             port::Change::Instance(instance, registration) => {
                 if registration.is_some() {
                     listed.instances.insert(instance.clone());
@@ -400,6 +417,9 @@
     entry.set_instances(&listed.instances);
     entry.out_of_service.borrow_mut().retain(|domain| listed.out_of_service.contains(domain));
     entry.rollouts.borrow_mut().retain_orders(|service| listed.rollouts.contains(service));
+    if !listed.has_quarantine {
+        quarantine_record::apply(entry, None);
+    }
     if !listed.has_leader {
         *entry.leader.borrow_mut() = None;
     }
@@ -452,6 +472,7 @@
     let targets = targets.entry(weights.model.clone()).or_default();
     let now = clock::now();
     let limit = entry.old_weights_limit();
+    let is_known = targets.newest().is_some();
     // The version was set after this instance last knew the newest items.
     let max_age = entry.config_confirmed_at.get().map(|at| now.since(at));
     let assumed_age = limit - UNKNOWN_TARGET_ALLOWANCE;
@@ -470,6 +491,9 @@
             "target version of weights changed"
         );
         targets.prune(now, limit);
+        if is_known {
+            entry.quarantine.record_new_weights(weights.model, now + limit);
+        }
     }
 }
 
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -8,6 +8,7 @@
 use damaskdrift_core::balance;
 use damaskdrift_core::id;
 use damaskdrift_core::prefix_cache;
+use damaskdrift_core::quarantine;
 use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
@@ -138,6 +139,8 @@
     RolloutOrder(id::Service, Option<rollout::Order>),
     /// The status of a rollout was written or removed (`None`).
     RolloutStatus(id::Service, Option<rollout::Status>),
+    /// The durable record of quarantined segments was written or removed (`None`).
+    Quarantine(Option<quarantine::Record>),
     /// An instance registered, or its registration ended (`None`).
     Instance(id::Instance, Option<Registration>),
     /// An instance became leader under a fencing token, or there is no leader (`None`).
@@ -330,6 +333,17 @@
         fence: id::FencingToken,
     ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
 
+    /// Writes the record of quarantined segments and returns the revision of the write.
+    ///
+    /// Returns `None` if the record in the store no longer has the revision `known`, which is 0 if
+    /// there was none, or if another leader has claimed leadership since.
+    fn put_quarantine<'a>(
+        &'a self,
+        blames: &'a [quarantine::RecordedBlame],
+        known: u64,
+        fence: id::FencingToken,
+    ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
+
     /// Requests the status report of a model engine.
     fn engine_report(
         &self,
--- a/damaskdrift/src/entry/quarantine.rs
+++ b/damaskdrift/src/entry/quarantine.rs
@@ -2,7 +2,7 @@
 //! other instances, and the refusal of requests.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net;
 use std::rc::Rc;
@@ -67,12 +67,22 @@
     broken: RefCell<BTreeMap<quarantine::Incarnation, Broken>>,
     /// Changes whenever segments are put in quarantine.
     blamed: watch::Sender<()>,
+    /// From when requests run on new weights of a model, and on new software of a service, whose
+    /// change this instance has seen.
+    renewed_weights: RefCell<HashMap<id::Model, Millis>>,
+    renewed_software: RefCell<HashMap<id::Service, Millis>>,
 }
 
 impl Default for Quarantine {
     fn default() -> Self {
         let (ledger, broken) = (RefCell::default(), RefCell::default());
-        Self { ledger, broken, blamed: watch::Sender::new(()) }
+        Self {
+            ledger,
+            broken,
+            blamed: watch::Sender::new(()),
+            renewed_weights: RefCell::default(),
+            renewed_software: RefCell::default(),
+        }
     }
 }
 
@@ -142,6 +152,27 @@
 }
 
 impl Quarantine {
+    /// Returns what the instance knows of crashes.
+    pub fn ledger(&self) -> &RefCell<quarantine::Ledger> {
+        &self.ledger
+    }
+
+    /// Records that all requests for a model run on new weights from this time on.
+    pub fn record_new_weights(&self, model: id::Model, from: Millis) {
+        self.renewed_weights.borrow_mut().insert(model, from);
+    }
+
+    /// Records that all requests to a service run on new software from this time on.
+    pub fn record_new_software(&self, service: id::Service, from: Millis) {
+        self.renewed_software.borrow_mut().insert(service, from);
+    }
+
+    /// Returns when the upstreams of a request last got new weights or software.
+    fn renewed_at(&self, service: &id::Service, model: Option<&id::Model>) -> Option<Millis> {
+        let weights = model.and_then(|model| self.renewed_weights.borrow().get(model).copied());
+        weights.max(self.renewed_software.borrow().get(service).copied())
+    }
+
     /// Returns whether a request whose engine broke its connection may be sent to another one.
     pub fn may_repeat(&self, segments: &[u64]) -> bool {
         self.ledger.borrow().may_repeat(segments)
@@ -155,16 +186,23 @@
     }
 }
 
-/// Decides whether a request with these shared segments is accepted.
+/// Decides whether a request to a service with these shared segments is accepted.
 ///
 /// # Errors
 ///
 /// Returns the refusal of a request with a segment in quarantine.
-pub fn admit(entry: &state::Entry, segments: &[u64]) -> Result<(), refusal::Refusal> {
+pub fn admit(
+    entry: &state::Entry,
+    service: &id::Service,
+    model: Option<&id::Model>,
+    segments: &[u64],
+) -> Result<(), refusal::Refusal> {
+    let renewed_at = entry.quarantine.renewed_at(service, model);
     let registered = entry.registered_instances();
     let own = &entry.settings.instance;
     let mut ledger = entry.quarantine.ledger.borrow_mut();
-    match ledger.admit(segments, own, &registered, clock::now()) {
+    let instances = (own, &*registered);
+    match ledger.admit_after_renewal(segments, renewed_at, instances, clock::now()) {
         quarantine::Admission::Admitted => Ok(()),
         quarantine::Admission::Quarantined { segment, crashes, retry_after } => {
             let reason = format!(
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -23,6 +23,7 @@
 use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::quarantine;
+use crate::entry::quarantine_record;
 use crate::entry::retry;
 use crate::entry::rollouts;
 use crate::entry::settings;
@@ -163,6 +164,8 @@
     pub observed_weights: RefCell<ObservedWeights>,
     /// Segments on which engines crashed.
     pub quarantine: quarantine::Quarantine,
+    /// Durable record of these segments.
+    pub quarantine_record: quarantine_record::QuarantineRecord,
     /// State for following the platform store through relays.
     pub follower: follower::Follower,
     /// Changes received from relays, in order.
@@ -205,6 +208,7 @@
             observed_weights: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             quarantine: quarantine::Quarantine::default(),
+            quarantine_record: quarantine_record::QuarantineRecord::default(),
             follower: follower::Follower::default(),
             relayed_changes,
             instances: RefCell::default(),
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -16,6 +16,7 @@
 use crate::entry::leadership;
 use crate::entry::notices;
 use crate::entry::port;
+use crate::entry::quarantine_record;
 use crate::entry::rollouts;
 use crate::entry::state;
 
@@ -90,6 +91,7 @@
     let mut lease: Option<leadership::HeldLease> = None;
     let mut term = Term::default();
     let mut driver = rollouts::Driver::default();
+    let mut quarantine = quarantine_record::Driver::default();
     let mut next_claim = clock::now();
     while !entry.stopping.is_cancelled() {
         let now = clock::now();
@@ -108,6 +110,7 @@
         }
         if let Some(held) = lease {
             driver.tick(&entry, &held).await;
+            quarantine.tick(&entry, &held).await;
             let now = clock::now();
             let may_order = now.since(held.claimed_at) >= entry.settings.turn;
             if may_order && held.is_valid(now) && !term.tick(&entry, held) {
--- a/damaskdrift_core/src/quarantine/ledger.rs
+++ b/damaskdrift_core/src/quarantine/ledger.rs
@@ -7,6 +7,7 @@
 use crate::id;
 use crate::quarantine::crash;
 use crate::quarantine::memory;
+use crate::quarantine::record;
 use crate::quarantine::verdict;
 use crate::time::Millis;
 
@@ -32,6 +33,14 @@
 /// Minimum time between two requests that test whether a segment still crashes engines. An engine
 /// under load begins an answer well within it.
 const PROBE_INTERVAL: Millis = Millis(10_000);
+/// Number of requests that test a segment before the end of its quarantine, after its upstreams have
+/// got new weights or software. Three requests to upstreams are allowed after the fifth crash.
+const MAX_EARLY_TESTS: u32 = 2;
+/// Minimum quarantine that remains when a record is restored. Until its end an instance that has
+/// just started knows the others, so that only one of them tests the segment.
+const MIN_RESTORED_HOLD: Millis = Millis(10_000);
+/// Largest number of crashes that is accepted from a record.
+const MAX_RECORDED_CRASHES: u32 = 1_000;
 /// Time since the last crash for which a blame is reported to other instances and accepted from
 /// them.
 const BLAME_REPORT_TTL: Millis = Millis(3_600_000);
@@ -88,6 +97,11 @@
     blames: BTreeMap<u64, Blame>,
     /// When this instance last sent a request that tests a blamed segment.
     probed_at: BTreeMap<u64, Millis>,
+    /// Number of tests that this instance has sent before the end of a segment's quarantine.
+    early_tests: BTreeMap<u64, u32>,
+    /// Blames that are known from the record only. Their quarantine is counted from when the record
+    /// was read, so the time that another instance reports replaces it.
+    restored: BTreeSet<u64>,
     /// Blames that [`update`](Self::update) has not returned yet.
     unannounced: Vec<(u64, Blame)>,
     answered: memory::Answered,
@@ -106,8 +120,7 @@
 
     /// Returns until when no request with the segment is sent.
     fn held_until(&self) -> Millis {
-        let doublings = self.crashes.saturating_sub(HOLD_CRASHES).min(MAX_HOLD_DOUBLINGS);
-        self.last_at + Millis(HOLD.0 << doublings)
+        self.last_at + hold(self.crashes)
     }
 }
 
@@ -198,6 +211,8 @@
     pub fn update(&mut self, now: Millis) -> Vec<(u64, Blame)> {
         self.blames.retain(|_, blame| now.since(blame.last_at) < BLAME_TTL);
         self.probed_at.retain(|segment, _| self.blames.contains_key(segment));
+        self.early_tests.retain(|segment, _| self.blames.contains_key(segment));
+        self.restored.retain(|segment| self.blames.contains_key(segment));
         self.crashes.retain(|_, crash| now.since(crash.at) < CRASH_TTL);
         self.changed.retain(|_, at| now.since(*at) < CHANGE_REPORT_TIME);
         let has_settled = |crash: &crash::Crash| {
@@ -222,6 +237,7 @@
             let (count, last_at) = accusing(&self.crashes, *segment);
             if count > blame.crashes || last_at > blame.last_at {
                 self.blames_changed_at = Some(now);
+                self.restored.remove(segment);
             }
             blame.crashes = blame.crashes.max(count);
             blame.last_at = blame.last_at.max(last_at);
@@ -247,17 +263,35 @@
         own: &id::Instance,
         registered: &[id::Instance],
         now: Millis,
+    ) -> Admission {
+        self.admit_after_renewal(segments, None, (own, registered), now)
+    }
+
+    /// Does the same for a request whose upstreams have had new weights or software since
+    /// `renewed_at`: a few requests then test a segment before the end of its quarantine.
+    pub fn admit_after_renewal(
+        &mut self,
+        segments: &[u64],
+        renewed_at: Option<Millis>,
+        (own, registered): (&id::Instance, &[id::Instance]),
+        now: Millis,
     ) -> Admission {
         for segment in segments {
             let Some(blame) = self.blames.get(segment).filter(|blame| !blame.is_lifted) else {
                 continue;
             };
             let mut retry_after = blame.held_until().since(now);
-            if retry_after == Millis(0) {
+            let is_over = retry_after == Millis(0);
+            let early_tests = self.early_tests.get(segment).copied().unwrap_or(0);
+            let is_renewed = renewed_at.is_some_and(|at| blame.last_at < at && at <= now);
+            if is_over || (is_renewed && early_tests < MAX_EARLY_TESTS) {
                 let probed_at = self.probed_at.get(segment);
-                retry_after = PROBE_INTERVAL;
+                retry_after = retry_after.max(PROBE_INTERVAL);
                 let is_due = probed_at.is_none_or(|at| now.since(*at) >= PROBE_INTERVAL);
                 if is_due && is_prober(*segment, own, registered) {
+                    if !is_over {
+                        self.early_tests.insert(*segment, early_tests + 1);
+                    }
                     self.probed_at.insert(*segment, now);
                     continue;
                 }
@@ -274,11 +308,47 @@
     /// that were sent before.
     pub fn blamed<'a>(&self, segments: &'a [u64], now: Millis) -> Option<&'a u64> {
         segments.iter().find(|segment| {
-            let blame = self.blames.get(segment).filter(|blame| !blame.is_lifted);
-            blame.is_some_and(|blame| now < blame.held_until())
+            let Some(blame) = self.blames.get(segment).filter(|blame| !blame.is_lifted) else {
+                return false;
+            };
+            let is_tested = self.probed_at.get(segment).is_some_and(|probed_at| {
+                blame.last_at <= *probed_at && now.since(*probed_at) < PROBE_INTERVAL
+            });
+            now < blame.held_until() && !is_tested
         })
     }
 
+    /// Returns the segments in quarantine for the durable record.
+    pub fn recordable(&self, now: Millis) -> Vec<record::RecordedBlame> {
+        let mut recorded = Vec::new();
+        for (segment, blame) in &self.blames {
+            if blame.is_lifted {
+                continue;
+            }
+            let hold = blame.held_until().since(now);
+            let (segment, crashes) = (*segment, blame.crashes);
+            recorded.push(record::RecordedBlame { segment, crashes, hold });
+        }
+        recorded
+    }
+
+    /// Puts the segments of the durable record in quarantine, except those of which this instance
+    /// knows as many crashes.
+    pub fn restore(&mut self, recorded: &[record::RecordedBlame], now: Millis) {
+        for blame in recorded {
+            let crashes = blame.crashes.clamp(HOLD_CRASHES, MAX_RECORDED_CRASHES);
+            if self.blames.get(&blame.segment).is_some_and(|known| known.crashes >= crashes) {
+                continue;
+            }
+            let left = blame.hold.clamp(MIN_RESTORED_HOLD, hold(crashes));
+            let last_at = now - (hold(crashes) - left);
+            self.merge_blame(blame.segment, Blame::new(crashes, last_at), now);
+            if self.blames.contains_key(&blame.segment) {
+                self.restored.insert(blame.segment);
+            }
+        }
+    }
+
     /// Returns whether a request whose engine crashed may be sent to another one: all of its
     /// segments have been answered, and none is a candidate of a crash.
     pub fn may_repeat(&self, segments: &[u64]) -> bool {
@@ -350,6 +420,8 @@
         } else if known.crashes == blame.crashes && blame.is_lifted && !known.is_lifted {
             known.is_lifted = true;
             self.blames_changed_at = Some(now);
+        } else if known.crashes == blame.crashes && self.restored.contains(&segment) {
+            known.last_at = known.last_at.min(blame.last_at);
         }
     }
 
@@ -357,6 +429,7 @@
     fn insert_blame(&mut self, segment: u64, mut blame: Blame, now: Millis) {
         // The reporter may not have heard of the answer yet.
         blame.is_lifted |= self.answered.last(segment).is_some_and(|at| at > blame.last_at);
+        self.restored.remove(&segment);
         let before = self.blames.insert(segment, blame);
         if !blame.is_lifted && before.is_none_or(|before| before.is_lifted) {
             self.unannounced.push((segment, blame));
@@ -365,6 +438,12 @@
     }
 }
 
+/// Returns the time of a quarantine after this number of crashes.
+fn hold(crashes: u32) -> Millis {
+    let doublings = crashes.saturating_sub(HOLD_CRASHES).min(MAX_HOLD_DOUBLINGS);
+    Millis(HOLD.0 << doublings)
+}
+
 /// Returns the number of crashes that a segment may have caused, and the time of the last one.
 fn accusing(crashes: &BTreeMap<crash::Incarnation, crash::Crash>, segment: u64) -> (u32, Millis) {
     let accusing = crashes.values().filter(|crash| crash.accuses(segment));
--- a/damaskdrift_core/tests/quarantine.rs
+++ b/damaskdrift_core/tests/quarantine.rs
@@ -26,6 +26,10 @@
 /// Segment that crashes engines.
 const DEADLY: u64 = 7_777_777;
 
+/// Time from the start of a process until its fleet has a leader, and until it gets requests.
+const ELECTION: Millis = Millis(2_000);
+const START: Millis = Millis(300);
+
 /// A simulated day.
 #[derive(Clone, Copy, Debug)]
 struct Day {
@@ -41,6 +45,10 @@
     loses_zones: bool,
     /// Whether the deadly segment was answered before the day's first crash.
     is_answered_before: bool,
+    /// When all processes are killed and start again, in milliseconds.
+    kills: &'static [u64],
+    /// When the store is out of reach, in milliseconds.
+    store_outage: (u64, u64),
 }
 
 const CALM: Day = Day {
@@ -51,6 +59,8 @@
     crashes_per_s: 0.0,
     loses_zones: false,
     is_answered_before: false,
+    kills: &[],
+    store_outage: (0, 0),
 };
 
 /// What happened on a day.
@@ -65,6 +75,8 @@
     refused: usize,
     /// Sound segments that were put in quarantine.
     wrongly_blamed: BTreeSet<u64>,
+    /// Writes of the record.
+    writes: usize,
 }
 
 struct Request {
@@ -91,6 +103,12 @@
     reports: BTreeMap<u64, Vec<(usize, quarantine::Report)>>,
     /// Crashes that instances are about to notice.
     noticed: BTreeMap<u64, Vec<(usize, quarantine::Incarnation, Vec<u64>)>>,
+    /// What each instance knows of the record, the record, and when instances hear of it.
+    recorders: Vec<quarantine::Recorder>,
+    record: Option<quarantine::Record>,
+    told: BTreeMap<u64, Vec<usize>>,
+    started_at: Millis,
+    is_serving: bool,
     outcome: Outcome,
 }
 
@@ -107,6 +125,11 @@
             in_flight: Vec::new(),
             reports: BTreeMap::new(),
             noticed: BTreeMap::new(),
+            recorders: (0..day.instances).map(|_| quarantine::Recorder::default()).collect(),
+            record: None,
+            told: BTreeMap::new(),
+            started_at: Millis(0),
+            is_serving: true,
             outcome: Outcome::default(),
         }
     }
@@ -118,11 +141,61 @@
             self.crash_for_other_reasons(now);
             self.notice(now);
             self.exchange_reports(now);
-            self.send_requests(now, now >= from);
+            self.kill_all(now);
+            self.follow_store(now);
+            if self.is_serving {
+                self.send_requests(now, now >= from);
+            }
         }
         self.outcome
     }
 
+    /// Kills all processes and starts them again, if that is due. What they knew is lost.
+    fn kill_all(&mut self, now: Millis) {
+        if !self.day.kills.contains(&now.0) {
+            return;
+        }
+        self.fleet.iter_mut().for_each(|ledger| *ledger = quarantine::Ledger::default());
+        self.recorders.iter_mut().for_each(|recorder| *recorder = quarantine::Recorder::default());
+        (self.started_at, self.is_serving) = (now, false);
+        self.in_flight.clear();
+        self.reports.clear();
+        self.noticed.clear();
+        self.told.clear();
+    }
+
+    /// Lets all instances follow the store, and the leader write the record.
+    fn follow_store(&mut self, now: Millis) {
+        let (from, to) = self.day.store_outage;
+        if (from..to).contains(&now.0) {
+            return;
+        }
+        if !self.is_serving && now >= self.started_at + START {
+            self.is_serving = true;
+            self.told.entry(now.0).or_default().extend(0..self.fleet.len());
+        }
+        for instance in self.told.remove(&now.0).unwrap_or_default() {
+            self.recorders[instance].observe(self.record.as_ref());
+            if let Some(blames) = self.record.as_ref().and_then(|record| record.blames.as_ref()) {
+                self.fleet[instance].restore(blames, now);
+            }
+        }
+        if now < self.started_at + ELECTION || !self.is_serving {
+            return;
+        }
+        let Some((known, blames)) = self.recorders[0].due(&self.fleet[0], now) else {
+            return;
+        };
+        assert_eq!(known, self.record.as_ref().map_or(0, |record| record.revision));
+        self.outcome.writes += 1;
+        self.record = Some(quarantine::Record { revision: known + 1, blames: Some(blames) });
+        self.recorders[0].observe(self.record.as_ref());
+        for instance in 1..self.fleet.len() {
+            let heard_at = now.0 + STEP_MS * self.rng.random_range(5..50);
+            self.told.entry(heard_at).or_default().push(instance);
+        }
+    }
+
     /// Returns the number of events in this step at a rate a second.
     fn events(&mut self, per_s: f64) -> usize {
         let expected = per_s * STEP_MS as f64 / 1_000.0;
@@ -343,6 +416,36 @@
     }
 }
 
+/// Guards against a fleet that forgets a segment that crashes engines when all of it is killed, and
+/// against writes to the store for each crash, each start or each instance.
+#[rstest]
+#[case::eight(CALM, &[10_000])]
+#[case::eight_twice(CALM, &[10_000, 20_000])]
+#[case::eight_store_down(Day { store_outage: (9_000, 13_000), ..CALM }, &[10_000])]
+#[case::relays(
+    Day { instances: 74, engines: 64, sound_per_s: 900.0, ..CALM }, &[10_000, 20_000]
+)]
+#[case::large(
+    Day { instances: 295, engines: 128, sound_per_s: 1_500.0, ..CALM }, &[10_000, 20_000]
+)]
+#[case::large_store_down(
+    Day { instances: 295, engines: 128, sound_per_s: 1_500.0, store_outage: (9_000, 13_000), ..CALM },
+    &[10_000]
+)]
+fn quarantine_survives_restarts_of_the_fleet(#[case] day: Day, #[case] kills: &'static [u64]) {
+    for seed in 0..seeds(&day) {
+        let day = Day { deadly_per_s: 3.0, kills, ..day };
+        let outcome = Simulation::new(day, seed).run(Millis(3_000), Millis(28_000));
+        let late = outcome.sent_late();
+        assert!(late <= 3, "seed {seed}: {late} requests sent late");
+        let crashes = outcome.crashes.len();
+        assert!((3..=8).contains(&crashes), "seed {seed}: {crashes} engines ended");
+        let starts = kills.len() * day.instances;
+        let writes = outcome.writes;
+        assert_eq!(writes, 1, "seed {seed}: writes after {crashes} crashes and {starts} starts");
+    }
+}
+
 fn incarnation(number: u64) -> quarantine::Incarnation {
     quarantine::Incarnation { upstream: id::Upstream::new("e"), started_at: number }
 }
@@ -435,3 +538,88 @@
     assert!(report.crashes.len() <= 64 && candidates <= 64 * 64, "{candidates} candidates");
     assert!(report.blames.is_empty());
 }
+
+fn recorded(crashes: u32, hold_ms: u64) -> [quarantine::RecordedBlame; 1] {
+    [quarantine::RecordedBlame { segment: DEADLY, crashes, hold: Millis(hold_ms) }]
+}
+
+/// Guards against a record that extends the quarantine of live instances with each start, against one
+/// that brings a lifted quarantine back, and against odd values that make one last for good.
+#[test]
+fn record_replaces_nothing_that_is_known() {
+    let now = Millis(50_000);
+    let mut ledger = blaming();
+    ledger.restore(&recorded(3, 60_000), now);
+    assert_eq!(ledger.blamed(&[DEADLY], Millis(60_499)), Some(&DEADLY));
+    assert_eq!(ledger.blamed(&[DEADLY], Millis(60_501)), None, "60 s after the last crash");
+
+    let mut started = quarantine::Ledger::default();
+    started.restore(&recorded(3, 60_000), now);
+    assert_eq!(started.blamed(&[DEADLY], Millis(109_999)), Some(&DEADLY));
+    started.merge(blaming().report(now).unwrap(), now);
+    assert_eq!(started.blamed(&[DEADLY], Millis(60_501)), None, "live instances know the time");
+
+    ledger.record_answer(&[DEADLY], now);
+    ledger.restore(&recorded(3, 60_000), now);
+    assert_eq!(ledger.blamed(&[DEADLY], now), None);
+
+    let mut odd = quarantine::Ledger::default();
+    odd.restore(&recorded(u32::MAX, u64::MAX), now);
+    odd.restore(&recorded(0, 0), now);
+    assert_eq!(odd.blamed(&[DEADLY], now + Millis(961_000)), None);
+}
+
+/// Guards against a record that is not ended, or that is written although nothing has changed.
+#[test]
+fn record_is_written_once_for_each_change_of_the_set() {
+    let now = Millis(1_000);
+    let mut ledger = blaming();
+    let mut recorder = quarantine::Recorder::default();
+    assert!(recorder.due(&quarantine::Ledger::default(), now).is_none());
+    let (known, blames) = recorder.due(&ledger, now).unwrap();
+    assert_eq!((known, &*blames), (0, &recorded(3, 59_500)[..]));
+    recorder.observe(Some(&quarantine::Record { revision: 7, blames: Some(blames) }));
+    recorder.observe(Some(&quarantine::Record { revision: 6, blames: None }));
+    ledger.record_crash(&incarnation(4), &[DEADLY], now);
+    ledger.update(now);
+    assert!(recorder.due(&ledger, now).is_none(), "one more crash");
+    recorder.observe(Some(&quarantine::Record { revision: 8, blames: None }));
+    assert_eq!(recorder.due(&ledger, now).unwrap().0, 8, "unreadable");
+    recorder
+        .observe(Some(&quarantine::Record { revision: 9, blames: Some(recorded(4, 1).into()) }));
+    ledger.record_answer(&[DEADLY], now);
+    assert_eq!(recorder.due(&ledger, now), Some((9, Vec::new())), "lifted");
+    recorder.observe(None);
+    assert!(recorder.due(&ledger, now).is_none());
+}
+
+/// Guards against a segment that stays in quarantine although new weights or software have made it
+/// sound, and against more tests than the fleet may send.
+#[test]
+fn few_requests_test_a_segment_after_new_weights() {
+    let ids: Vec<_> = ["a", "b", "c"].iter().map(|id| id::Instance::new(id)).collect();
+    let mut ledgers = [blaming(), blaming(), blaming()];
+    let (mut sent, mut crashes) = (0, 3);
+    for ms in (2_000..60_000).step_by(100) {
+        let now = Millis(ms);
+        // New weights every 10 s; the first are older than the crashes.
+        let renewed_at = Some(Millis(ms / 10_000 * 10_000));
+        for index in 0..ids.len() {
+            let instances = (&ids[index], &ids[..]);
+            let admission =
+                ledgers[index].admit_after_renewal(&[DEADLY], renewed_at, instances, now);
+            if admission != quarantine::Admission::Admitted {
+                continue;
+            }
+            sent += 1;
+            assert_eq!(ledgers[index].blamed(&[DEADLY], now), None, "the test is sent");
+            crashes += 1;
+            for ledger in &mut ledgers {
+                ledger.record_crash(&incarnation(crashes), &[DEADLY], now + Millis(50));
+                ledger.update(now + Millis(50));
+            }
+            assert_eq!(ledgers[index].blamed(&[DEADLY], now + Millis(50)), Some(&DEADLY));
+        }
+    }
+    assert_eq!(sent, 2);
+}
