--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -4,6 +4,7 @@
 
 mod cache_stores;
 pub mod client;
+mod client_stream;
 mod clock;
 mod event_stream;
 mod follower;
@@ -17,6 +18,7 @@
 mod pool;
 pub mod port;
 mod quarantine;
+mod quarantine_record;
 mod refusal;
 mod relay;
 mod retry;
