Limit what clients take from an instance

Change: one account of bytes for connections, headers, bodies and unread responses; a share of the descriptors for callers, readiness checks and metrics; progress rules; bodies in one buffer. When something is short, connections without progress are closed first, else the newcomer is refused as not run.

--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -10,12 +10,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use damaskdrift_core::code;
 use damaskdrift_core::config_sync;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
@@ -25,6 +23,8 @@
 use xxhash_rust::xxh3;
 
 use crate::entry::clock;
+use crate::entry::intake;
+use crate::entry::listener;
 use crate::entry::port;
 use crate::entry::refusal;
 use crate::entry::relay;
@@ -41,19 +41,17 @@
 pub async fn serve(
     entry: Rc<state::Entry>,
     req: Request<Incoming>,
-) -> Result<Response<relay::Body>, convert::Infallible> {
+    conn: Rc<intake::Conn>,
+) -> Result<Response<intake::Body>, convert::Infallible> {
     let started = Instant::now();
     entry.requests.set(entry.requests.get() + 1);
     let (parts, body) = req.into_parts();
-    let result = match entry.port.decode_request(&parts) {
-        Ok(head) => match route(&entry, &head, &parts, body, started).await {
+    let result = match admit_header(&entry, &conn, &parts).await {
+        Ok(head) => match route(&entry, &head, &parts, (body, &conn), started).await {
             Ok(response) => Ok(response),
             Err(refusal) => Err((head.id, refusal)),
         },
-        Err(error) => {
-            let refusal = refusal::Refusal::not_run(code::Code::BadHeader, error.to_string());
-            Err((String::new(), refusal))
-        }
+        Err(refusal) => Err((String::new(), refusal)),
     };
     entry.requests.set(entry.requests.get().saturating_sub(1));
     let mut response = match result {
@@ -67,14 +65,32 @@
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    drop(parts);
+    conn.end_header();
+    Ok(response.map(|body| intake::Body::new(body, conn)))
+}
+
+/// Admits the header of a request and decodes it.
+async fn admit_header(
+    entry: &state::Entry,
+    conn: &intake::Conn,
+    parts: &request::Parts,
+) -> Result<port::RequestHead, refusal::Refusal> {
+    let limits = entry.table.borrow().as_ref().map(|table| table.limits);
+    let max_bytes = limits.map_or(listener::DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    let admitted = conn.begin_request(parts, max_bytes).await;
+    admitted.map_err(|refusal| with_overload_delay(entry, refusal))?;
+    entry
+        .port
+        .decode_request(parts)
+        .map_err(|error| refusal::Refusal::not_run(code::Code::BadHeader, error.to_string()))
 }
 
 async fn route(
     entry: &Rc<state::Entry>,
     head: &port::RequestHead,
     parts: &request::Parts,
-    body: Incoming,
+    (body, conn): (Incoming, &intake::Conn),
     started: Instant,
 ) -> Result<Response<relay::Body>, refusal::Refusal> {
     let table = entry.table.borrow().clone();
@@ -98,7 +114,9 @@
         };
     let timeout = min_timeout(head.timeout, route.timeout);
     let deadline = timeout.map(|timeout| started + Duration::from(timeout));
-    let body = read_body(body, table.limits.body_bytes, deadline).await?;
+    let body = intake::collect(conn, body, table.limits.body_bytes, deadline).await;
+    let body = body.map_err(|refusal| with_overload_delay(entry, refusal))?;
+    conn.begin_running().await.map_err(|refusal| with_overload_delay(entry, refusal))?;
     let hash = xxh3::xxh3_64(head.id.as_bytes());
     let Some(service) = table.service(route.service_for(hash)) else {
         let reason = "the route's service is not configured";
@@ -127,32 +145,6 @@
     job.run().await
 }
 
-/// Reads a caller's complete body, so that no upstream receives a truncated one.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Option<Instant>,
-) -> Result<Bytes, refusal::Refusal> {
-    let read = Limited::new(body, max_bytes).collect();
-    let collected = match deadline {
-        Some(deadline) => match tokio::time::timeout_at(deadline, read).await {
-            Ok(collected) => collected,
-            Err(_) => {
-                let reason = "the body did not arrive in time";
-                return Err(refusal::Refusal::not_run(code::Code::RequestTimeout, reason));
-            }
-        },
-        None => read.await,
-    };
-    match collected {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(refusal::Refusal::not_run(code::Code::BodyTooLarge, error.to_string()))
-        }
-        Err(error) => Err(refusal::Refusal::not_run(code::Code::MalformedBody, error.to_string())),
-    }
-}
-
 fn log_refusal(
     entry: &state::Entry,
     id: &str,
@@ -177,6 +169,14 @@
     with_retry_after(entry, refusal::Refusal::not_run(code::Code::ConfigurationStale, reason))
 }
 
+/// Adds a retry delay to a refusal for which the instance's own limits are the reason.
+fn with_overload_delay(entry: &state::Entry, refusal: refusal::Refusal) -> refusal::Refusal {
+    match refusal.code {
+        code::Code::InstanceOverloaded => with_retry_after(entry, refusal),
+        _ => refusal,
+    }
+}
+
 /// Adds a random retry delay to a refusal, so that callers don't all retry at the same time.
 fn with_retry_after(entry: &state::Entry, refusal: refusal::Refusal) -> refusal::Refusal {
     let delay_ms = entry.rng.borrow_mut().random_range(RETRY_AFTER_MS);
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod event_stream;
 mod follower;
 pub mod forward;
+mod intake;
 mod leadership;
 mod listener;
 mod notices;
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -16,6 +16,7 @@
 use crate::entry::cache_stores;
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::intake;
 use crate::entry::leadership;
 use crate::entry::listener;
 use crate::entry::observe;
@@ -57,10 +58,12 @@
         settings.clone(),
         reload,
     ));
-    let callers = listen(settings.callers).await?;
-    let readiness = listen(settings.readiness).await?;
+    let callers = listener::bind(settings.callers)?;
+    let readiness = listener::bind(settings.readiness)?;
     let peers = listen(settings.peers).await?;
-    let metrics = listen(settings.metrics).await?;
+    let metrics = listener::bind(settings.metrics)?;
+    let resources = intake::Resources::new(&settings);
+    resources.log();
     let (entry, changes) = state::Entry::new(settings, port, client);
     log::info!(
         instance:% = entry.settings.instance, domain:% = entry.settings.domain,
@@ -68,9 +71,13 @@
         "instance starting"
     );
     let close = CancellationToken::new();
-    let callers = task::spawn_local(listener::serve_callers(entry.clone(), callers, close.clone()));
-    task::spawn_local(listener::serve_readiness(entry.clone(), readiness));
-    task::spawn_local(listener::serve_metrics(recorder, metrics));
+    let intake = intake::Intake::for_callers(&resources);
+    let callers = listener::serve_callers(entry.clone(), intake, callers, close.clone());
+    let callers = task::spawn_local(callers);
+    let intake = intake::Intake::for_checks("readiness", &resources);
+    task::spawn_local(listener::serve_readiness(entry.clone(), intake, readiness));
+    let intake = intake::Intake::for_checks("metrics", &resources);
+    task::spawn_local(listener::serve_metrics(recorder, intake, metrics));
     task::spawn_local(peers::listen(entry.clone(), peers));
     task::spawn_local(peers::run(entry.clone()));
     task::spawn_local(platform_store::run(entry.clone(), changes));
--- a/damaskdrift/src/entry/settings.rs
+++ b/damaskdrift/src/entry/settings.rs
@@ -43,4 +43,8 @@
     pub turn: Millis,
     /// Minimum TTL of a lease in the platform store.
     pub shortest_lease: Millis,
+    /// Memory of the machine in bytes; `None` if the control group or the system tells it.
+    pub memory_bytes: Option<u64>,
+    /// File descriptors that the process may open; `None` if only the system limits them.
+    pub file_descriptors: Option<u32>,
 }
--- a/damaskdrift_core/src/code.rs
+++ b/damaskdrift_core/src/code.rs
@@ -71,6 +71,8 @@
     UnknownStream = 1008, "unknown-stream", 404;
     /// The offset lies outside the stream.
     BadOffset = 1009, "bad-offset", 416;
+    /// The header of the request is larger than the configured limit.
+    HeaderTooLarge = 1010, "header-too-large", 431;
     /// The bearer key is missing or belongs to no workspace.
     Unauthorized = 1101, "unauthorized", 401;
     /// The request id belongs to another workspace.
@@ -111,6 +113,8 @@
     ConfigurationStale = 1502, "configuration-stale", 503;
     /// The instance is stopping.
     Draining = 1503, "draining", 503;
+    /// The instance's memory or descriptors for callers are in use.
+    InstanceOverloaded = 1504, "instance-overloaded", 503;
     /// The operator token is missing or wrong.
     OperatorUnauthorized = 2001, "operator-unauthorized", 401;
     /// Another change was accepted first.
--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod id;
 pub mod idempotency;
+pub mod limits;
 pub mod membership;
 pub mod order;
 pub mod placement;
