--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -155,6 +155,14 @@
     let age_ms = entry.config_confirmed_at.get().map(|at| clock::now().since(at).0);
     let version = entry.table.borrow().as_ref().map(|table| table.version);
     metrics::counter!("refusals", "reason" => refusal.code.name()).increment(1);
+    let (is_logged, omitted) =
+        entry.refusal_lines.borrow_mut().entry(refusal.code).or_default().admit(clock::now());
+    if omitted > 0 {
+        log::warn!(code = refusal.code.number(), omitted; "more requests were refused");
+    }
+    if !is_logged {
+        return;
+    }
     log::warn!(
         request = id, path = parts.uri.path(), code = refusal.code.number(),
         name = refusal.code.name(), outcome:% = refusal.outcome, reason = refusal.reason.as_str(),
--- a/damaskdrift/src/entry/intake/conn.rs
+++ b/damaskdrift/src/entry/intake/conn.rs
@@ -74,10 +74,7 @@
     /// Waits until the request whose body is being read has to be refused.
     pub(super) async fn refusal(&self) -> refusal::Refusal {
         self.refuse.notified().await;
-        match self.refused.get() {
-            Some((limits::Reason::SlowBody, _)) => too_slow(),
-            _ => no_memory(),
-        }
+        refusal_for(self.refused.get().map_or(limits::Reason::MemoryShort, |(reason, _)| reason))
     }
 
     pub(super) fn close(&self) {
@@ -137,6 +134,9 @@
     /// Returns a refusal if too many requests are at upstreams.
     pub async fn begin_running(&self) -> Result<(), refusal::Refusal> {
         for _ in 0..intake::MAX_YIELDS {
+            if let Some((reason, _)) = self.refused.get() {
+                return Err(refusal_for(reason));
+            }
             if self.intake.connections.borrow().running() < self.intake.max_requests {
                 self.intake.connections.borrow_mut().begin_running(self.id, clock::now());
                 return Ok(());
@@ -147,8 +147,7 @@
             }
             tokio::task::yield_now().await;
         }
-        let reason = "the instance has too many requests at upstreams";
-        Err(refusal::Refusal::not_run(code::Code::InstanceOverloaded, reason))
+        Err(too_many())
     }
 
     /// Records that the response to a request is complete.
@@ -248,7 +247,7 @@
         if !self.is_blocked.replace(false) {
             return;
         }
-        self.intake.connections.borrow_mut().record_written(self.id, false, clock::now());
+        self.intake.connections.borrow_mut().record_written(self.id, clock::now());
         let _ = self.unread.borrow_mut().resize(0);
         self.update_bytes();
         let waker = self.read_waker.take();
@@ -269,12 +268,27 @@
     }
 }
 
+/// Returns the refusal of a request whose connection is closed for a reason.
+fn refusal_for(reason: limits::Reason) -> refusal::Refusal {
+    match reason {
+        limits::Reason::SlowBody => too_slow(),
+        limits::Reason::DescriptorsShort => too_many(),
+        _ => no_memory(),
+    }
+}
+
 /// Returns the refusal of a request whose body arrives too slowly.
 pub(super) fn too_slow() -> refusal::Refusal {
     let reason = "the body did not arrive in time";
     refusal::Refusal::not_run(code::Code::RequestTimeout, reason)
 }
 
+/// Returns the refusal of a request for which no descriptor is left.
+fn too_many() -> refusal::Refusal {
+    let reason = "the instance has too many connections or requests";
+    refusal::Refusal::not_run(code::Code::InstanceOverloaded, reason)
+}
+
 /// Returns the refusal of a request for which the account is short.
 fn no_memory() -> refusal::Refusal {
     let reason = "the instance has no memory left for the request";
--- a/damaskdrift/src/entry/listener.rs
+++ b/damaskdrift/src/entry/listener.rs
@@ -8,13 +8,12 @@
 
 use bytes::Bytes;
 use damaskdrift_core::limits;
-use damaskdrift_core::time::Millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task;
@@ -34,9 +33,6 @@
 /// Read buffer of connections whose requests have only a short header; the minimum that hyper
 /// accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
-/// Time by which hyper's own timeout for a header is later than the intake's, which tells the idle
-/// time from the time that the header takes.
-const HEADER_TIMEOUT_MARGIN: Millis = Millis(1_000);
 /// Delay after a failed accept; the usual cause is a lack of free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Connections that the kernel keeps until they are accepted.
@@ -132,7 +128,7 @@
     http.max_headers(limits::max_fields(header_bytes));
     let buffer_bytes = (header_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES);
     let socket = intake::Socket::new(stream, conn.clone(), buffer_bytes);
-    serve(socket, conn, (http, buffer_bytes, timeouts), close, move |req, conn| {
+    serve(socket, conn, (http, buffer_bytes), close, move |req, conn| {
         forward::serve(entry.clone(), req, conn)
     })
 }
@@ -150,16 +146,14 @@
 async fn serve<F>(
     socket: intake::Socket,
     conn: Rc<intake::Conn>,
-    (mut http, buffer_bytes, timeouts): (http1::Builder, usize, limits::Timeouts),
+    (mut http, buffer_bytes): (http1::Builder, usize),
     close: CancellationToken,
     respond: impl Fn(Request<Incoming>, Rc<intake::Conn>) -> F,
 ) where
     F: Future<Output = Result<Response<intake::Body>, convert::Infallible>>,
 {
-    let header_timeout = timeouts.idle + timeouts.header + HEADER_TIMEOUT_MARGIN;
-    http.timer(TokioTimer::new())
-        .header_read_timeout(Duration::from(header_timeout))
-        .max_buf_size(buffer_bytes);
+    // The intake has the timeouts; hyper's would count the time in which a response is read.
+    http.header_read_timeout(None).max_buf_size(buffer_bytes);
     // Declared before the connection, so that its end is recorded after it has been dropped.
     let _removal = Removal(conn.clone());
     let service = service::service_fn(|req| respond(req, conn.clone()));
@@ -235,7 +229,7 @@
                 }
             };
             let socket = intake::Socket::new(stream, conn.clone(), MIN_BUFFER_BYTES);
-            let limits = (http1::Builder::new(), MIN_BUFFER_BYTES, limits::Timeouts::default());
+            let limits = (http1::Builder::new(), MIN_BUFFER_BYTES);
             let close = CancellationToken::new();
             task::spawn_local(serve(socket, conn, limits, close, respond));
         }
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -5,8 +5,10 @@
 use std::rc::Rc;
 
 use damaskdrift_core::balance;
+use damaskdrift_core::code;
 use damaskdrift_core::config_sync;
 use damaskdrift_core::id;
+use damaskdrift_core::limits;
 use damaskdrift_core::membership;
 use damaskdrift_core::prefix_cache;
 use damaskdrift_core::routing;
@@ -167,6 +169,8 @@
     pub follower: follower::Follower,
     /// Changes received from relays, in order.
     pub relayed_changes: mpsc::Sender<message::Changes>,
+    /// Log lines on refused requests, by code.
+    pub refusal_lines: RefCell<BTreeMap<code::Code, limits::Lines>>,
     instances: RefCell<BTreeMap<id::Instance, Member>>,
     layout: RefCell<Rc<membership::Layout>>,
     registered_instances: RefCell<Rc<[id::Instance]>>,
@@ -207,6 +211,7 @@
             quarantine: quarantine::Quarantine::default(),
             follower: follower::Follower::default(),
             relayed_changes,
+            refusal_lines: RefCell::default(),
             instances: RefCell::default(),
             layout: RefCell::default(),
             registered_instances: RefCell::new(Rc::from([])),
--- a/damaskdrift_core/src/limits/connections.rs
+++ b/damaskdrift_core/src/limits/connections.rs
@@ -54,7 +54,7 @@
     progress_at: Millis,
     /// Bytes since then.
     progress_bytes: usize,
-    /// When the client last took a byte of a response, if it leaves some waiting.
+    /// Since when the client has taken no byte of a response, if some wait.
     blocked_since: Option<Millis>,
     /// Whether bytes of the next request have arrived before the response to the current one.
     has_read_ahead: bool,
@@ -193,11 +193,15 @@
         }
     }
 
-    /// Records bytes of a response that a client has taken.
-    pub fn record_written(&mut self, id: Id, is_blocked: bool, now: Millis) {
-        if let Some(connection) = self.open.get_mut(&id) {
-            connection.blocked_since = is_blocked.then_some(now);
-        }
+    /// Records that a client has taken bytes of a response that waited.
+    pub fn record_written(&mut self, id: Id, now: Millis) {
+        let Some(connection) = self.open.get_mut(&id) else {
+            return;
+        };
+        connection.blocked_since = None;
+        // Nothing was read meanwhile, so the time for the next request begins here.
+        connection.since = now;
+        self.record_progress(id, now);
     }
 
     /// Records that a client leaves bytes of a response waiting.
--- a/damaskdrift_core/src/limits/mod.rs
+++ b/damaskdrift_core/src/limits/mod.rs
@@ -3,11 +3,13 @@
 mod account;
 mod connections;
 mod descriptors;
+mod lines;
 mod progress;
 
 pub use account::{Account, Guard, Kind, SMALL_BYTES, Short, capacity};
 pub use connections::{Connections, Id, Phase, Wanted};
 pub use descriptors::Descriptors;
+pub use lines::Lines;
 pub use progress::{Reason, Timeouts, body_due};
 
 /// Bytes of a connection without a request: its buffers, its task and its entries in tables.
