Charge client buffers by their real size; document the limits

Change: large bodies in a mapping of their own (new dependency memmap2), huge pages off; read buffers charged by their size; large headers refused at once; progress in proportion to what is held; a check is left out after the process was frozen; documents.

--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -33,6 +33,22 @@
 /// Range of the delay after which callers are asked to retry, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 150..400;
 
+/// A request that counts as running until this value is dropped, also if its connection is closed.
+struct RequestCount(Rc<state::Entry>);
+
+impl RequestCount {
+    fn new(entry: &Rc<state::Entry>) -> Self {
+        entry.requests.set(entry.requests.get() + 1);
+        Self(entry.clone())
+    }
+}
+
+impl Drop for RequestCount {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get().saturating_sub(1));
+    }
+}
+
 /// Serves one request of a caller.
 ///
 /// # Errors
@@ -44,7 +60,7 @@
     conn: Rc<intake::Conn>,
 ) -> Result<Response<intake::Body>, convert::Infallible> {
     let started = Instant::now();
-    entry.requests.set(entry.requests.get() + 1);
+    let count = RequestCount::new(&entry);
     let (parts, body) = req.into_parts();
     let result = match admit_header(&entry, &conn, &parts).await {
         Ok(head) => match route(&entry, &head, &parts, (body, &conn), started).await {
@@ -53,7 +69,7 @@
         },
         Err(refusal) => Err((String::new(), refusal)),
     };
-    entry.requests.set(entry.requests.get().saturating_sub(1));
+    drop(count);
     let mut response = match result {
         Ok(response) => response,
         Err((id, refusal)) => {
--- a/damaskdrift/src/entry/intake/body.rs
+++ b/damaskdrift/src/entry/intake/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of requests, collected in one buffer, and of responses, whose end is recorded.
 
 use std::cell::RefCell;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -12,6 +13,7 @@
 use damaskdrift_core::time::Millis;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use memmap2::{Advice, MmapMut, MmapOptions};
 use tokio::time::Instant;
 
 use crate::entry::clock;
@@ -20,22 +22,54 @@
 use crate::entry::refusal;
 use crate::entry::relay;
 
-/// Smallest growth of a body's buffer. A buffer grows by a quarter, which copies less than doubling
-/// wastes.
-const MIN_GROWTH_BYTES: usize = 16 << 10;
-const GROWTH: usize = 4;
-/// Steps in which a body of known length is charged.
-const CHARGED_STEP_BYTES: usize = 64 << 10;
+/// Steps in which the buffer of a small body grows and is charged.
+const SMALL_STEP_BYTES: usize = 16 << 10;
+/// Steps in which a large body is charged.
+const LARGE_STEP_BYTES: usize = 64 << 10;
+
+/// Time that a body that is due gets in addition. After the process was frozen, it reads in this
+/// time what the client has sent meanwhile.
+const LATE_TIME: Duration = Duration::from_millis(500);
+
+/// A buffer for a body.
+#[derive(Debug)]
+enum Buffer {
+    /// A small body, or the start of a large one.
+    Small(Vec<u8>),
+    /// A large body in a mapping of its own, of which only the written part is resident. The heap
+    /// would keep the memory of many large buffers after their end, since small allocations that
+    /// live longer come to lie between them.
+    Large(MmapMut, usize),
+}
 
 /// The body of a request with the bytes charged for it, in the form that [`Bytes`] can own.
 struct Collected {
-    buffer: Vec<u8>,
+    buffer: Buffer,
     _guard: limits::Guard,
 }
 
+impl Buffer {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Small(buffer) => buffer,
+            Self::Large(mapping, length) => &mapping[..*length],
+        }
+    }
+
+    /// Returns a buffer for at most `max_bytes` that begins with these bytes.
+    fn map(start: &[u8], max_bytes: usize) -> io::Result<Self> {
+        let mut mapping = MmapOptions::new().len(max_bytes).map_anon()?;
+        // A huge page would make megabytes resident for a body that stops after its first bytes.
+        // The kernel may have none to advise on.
+        let _ = mapping.advise(Advice::NoHugePage);
+        mapping[..start.len()].copy_from_slice(start);
+        Ok(Self::Large(mapping, start.len()))
+    }
+}
+
 impl AsRef<[u8]> for Collected {
     fn as_ref(&self) -> &[u8] {
-        &self.buffer
+        self.buffer.bytes()
     }
 }
 
@@ -43,7 +77,7 @@
 struct Collector<'a> {
     conn: &'a intake::Conn,
     guard: RefCell<limits::Guard>,
-    buffer: Vec<u8>,
+    buffer: Buffer,
     /// Length that the request's header gives.
     length: Option<usize>,
     max_bytes: usize,
@@ -69,24 +103,29 @@
         return Ok(Bytes::new());
     }
     let guard = conn.body_guard();
-    let mut collector = Collector { conn, guard, buffer: Vec::new(), length, max_bytes };
+    let mut collector =
+        Collector { conn, guard, buffer: Buffer::Small(Vec::new()), length, max_bytes };
     let started_at = clock::now();
     let timeout = tokio::time::sleep_until(due(started_at, 0, deadline));
     let mut timeout = std::pin::pin!(timeout);
+    let mut is_late = false;
     loop {
         let frame = tokio::select! {
             biased;
             refusal = conn.refusal() => return Err(refusal),
             frame = body.frame() => frame,
             () = timeout.as_mut() => {
-                let due = due(started_at, collector.buffer.len(), deadline);
-                if due <= Instant::now() {
-                    if deadline.is_none_or(|deadline| Instant::now() < deadline) {
-                        conn.record_slow_body();
-                    }
+                let now = Instant::now();
+                if deadline.is_some_and(|deadline| deadline <= now) {
+                    return Err(conn::too_slow());
+                }
+                let due = due(started_at, collector.buffer.bytes().len(), deadline);
+                if due <= now && is_late {
+                    conn.record_slow_body();
                     return Err(conn::too_slow());
                 }
-                timeout.as_mut().reset(due);
+                is_late = due <= now;
+                timeout.as_mut().reset(if is_late { now + LATE_TIME } else { due });
                 continue;
             }
         };
@@ -108,32 +147,36 @@
 
 impl Collector<'_> {
     async fn push(&mut self, data: &[u8]) -> Result<(), refusal::Refusal> {
-        let bytes = self.buffer.len() + data.len();
+        let bytes = self.buffer.bytes().len() + data.len();
         if bytes > self.max_bytes {
             return Err(too_large(self.max_bytes));
         }
+        let max_bytes = self.length.unwrap_or(self.max_bytes);
+        let is_small = bytes <= limits::SMALL_BYTES;
         if bytes > self.guard.borrow().bytes() {
-            let charged = self.next_size(bytes);
+            let step = if is_small { SMALL_STEP_BYTES } else { LARGE_STEP_BYTES };
+            let charged = bytes.next_multiple_of(step).min(max_bytes).max(bytes);
             self.conn.charge(&self.guard, charged).await?;
             self.conn.set_body_bytes(charged);
-            // Memory of a buffer that has not been written to is not resident, so only the part
-            // that will be is charged.
-            let capacity = self.length.unwrap_or(charged);
-            self.buffer.reserve_exact(capacity - self.buffer.len());
         }
-        self.buffer.extend_from_slice(data);
-        Ok(())
-    }
-
-    /// Returns the bytes to charge for a body that has grown to `bytes`.
-    fn next_size(&self, bytes: usize) -> usize {
-        match self.length {
-            Some(length) => bytes.next_multiple_of(CHARGED_STEP_BYTES).min(length).max(bytes),
-            None => {
-                let growth = (self.buffer.len() / GROWTH).max(MIN_GROWTH_BYTES);
-                bytes.max(self.buffer.len() + growth).min(self.max_bytes)
+        if let Buffer::Small(buffer) = &mut self.buffer {
+            if is_small {
+                let charged = self.guard.borrow().bytes();
+                buffer.reserve_exact(charged - buffer.len());
+                buffer.extend_from_slice(data);
+                return Ok(());
             }
+            let mapped = Buffer::map(buffer, max_bytes.max(bytes));
+            self.buffer = mapped.map_err(|error| {
+                log::warn!(cause:% = error; "cannot map memory for a body");
+                conn::no_memory()
+            })?;
         }
+        if let Buffer::Large(mapping, length) = &mut self.buffer {
+            mapping[*length..bytes].copy_from_slice(data);
+            *length = bytes;
+        }
+        Ok(())
     }
 
     fn finish(self) -> Bytes {
--- a/damaskdrift/src/entry/intake/conn.rs
+++ b/damaskdrift/src/entry/intake/conn.rs
@@ -27,9 +27,13 @@
     request: RefCell<limits::Guard>,
     /// What the client leaves unread or has sent ahead.
     unread: RefCell<limits::Guard>,
+    /// Bytes of the next request's header that have arrived.
+    header_bytes: Cell<usize>,
     /// Bytes of the request's body, which is charged on its own.
     body_bytes: Cell<usize>,
     is_blocked: Cell<bool>,
+    /// Bytes to charge for what the client leaves unread.
+    unread_bytes: Cell<usize>,
     read_waker: RefCell<Option<Waker>>,
     refused: Cell<Option<(limits::Reason, Millis)>>,
     refuse: Notify,
@@ -52,8 +56,10 @@
             buffers: RefCell::new(buffers),
             request,
             unread,
+            header_bytes: Cell::new(0),
             body_bytes: Cell::new(0),
             is_blocked: Cell::new(false),
+            unread_bytes: Cell::new(0),
             read_waker: RefCell::default(),
             refused: Cell::new(None),
             refuse: Notify::new(),
@@ -114,7 +120,20 @@
             return Err(refusal::Refusal::not_run(code::Code::HeaderTooLarge, reason));
         }
         let memory = limits::header_memory(parts.headers.len(), bytes);
-        self.charge(&self.request, limits::REQUEST_BYTES + memory).await
+        self.header_bytes.set(0);
+        let memory = limits::REQUEST_BYTES + memory;
+        if memory > limits::SMALL_BYTES {
+            // The header is in memory already, so a large one does not wait for room: the headers of
+            // a crowd would wait together.
+            let is_charged = self.request.borrow_mut().resize(memory).is_ok();
+            if !is_charged {
+                self.make_room(&self.request, memory);
+                return Err(no_memory());
+            }
+            self.update_bytes();
+            return Ok(());
+        }
+        self.charge(&self.request, memory).await
     }
 
     /// Records that the header of a request is no longer in memory.
@@ -155,7 +174,6 @@
         self.intake.connections.borrow_mut().end_request(self.id, clock::now());
         self.body_bytes.set(0);
         let _ = self.request.borrow_mut().resize(0);
-        let _ = self.buffers.borrow_mut().resize(limits::CONNECTION_BYTES);
         if !self.is_blocked.get() {
             let _ = self.unread.borrow_mut().resize(0);
         }
@@ -222,26 +240,35 @@
         self.read_waker.replace(Some(waker.clone()));
     }
 
-    /// Records bytes that the client has sent. Returns whether they may be kept.
+    /// Records bytes that the client has sent, and the size of the buffer that they were read into.
+    /// Returns whether they may be kept.
     pub(super) fn record_read(&self, bytes: usize, buffer_bytes: usize) -> bool {
         let mut connections = self.intake.connections.borrow_mut();
         let phase = connections.phase(self.id);
         connections.record_read(self.id, bytes, clock::now());
         drop(connections);
         match phase {
-            // A request that does not arrive at once may fill the read buffer.
-            Some(limits::Phase::Header | limits::Phase::Body) => {
-                self.charge_now(&self.buffers, limits::CONNECTION_BYTES + buffer_bytes)
-            }
             Some(limits::Phase::Running) => {
                 // A request that has been sent is not given up for a client that sends ahead.
                 self.charge_now(&self.unread, intake::FULL_SOCKET_BUFFER_BYTES);
                 true
             }
-            _ => true,
+            Some(limits::Phase::Idle | limits::Phase::Header) => {
+                let before = self.header_bytes.get();
+                self.header_bytes.set(before + bytes);
+                self.charge_buffer(before + buffer_bytes)
+            }
+            _ => self.charge_buffer(buffer_bytes),
         }
     }
 
+    /// Charges for a read buffer of this size. The HTTP library does not shrink its buffer again.
+    fn charge_buffer(&self, buffer_bytes: usize) -> bool {
+        let added = buffer_bytes.saturating_sub(limits::READ_BUFFER_BYTES);
+        let bytes = limits::CONNECTION_BYTES + added;
+        bytes <= self.buffers.borrow().bytes() || self.charge_now(&self.buffers, bytes)
+    }
+
     /// Records bytes of a response that the client has taken.
     pub(super) fn record_written(&self) {
         if !self.is_blocked.replace(false) {
@@ -258,13 +285,21 @@
 
     /// Records that the client leaves bytes of a response unread. Returns whether they may be kept.
     pub(super) fn record_blocked(&self, bytes: usize) -> bool {
-        if self.is_blocked.replace(true) {
-            return true;
+        if !self.is_blocked.replace(true) {
+            self.intake.connections.borrow_mut().record_blocked(self.id, clock::now());
         }
-        self.intake.connections.borrow_mut().record_blocked(self.id, clock::now());
-        let buffers = 2 * intake::FULL_SOCKET_BUFFER_BYTES;
-        let bytes = bytes + limits::UNREAD_RESPONSE_BYTES + buffers;
-        self.charge_now(&self.unread, bytes)
+        let bytes = bytes + limits::UNREAD_RESPONSE_BYTES + intake::FULL_SOCKET_BUFFER_BYTES;
+        self.unread_bytes.set(bytes);
+        self.is_unread_charged() || self.charge_now(&self.unread, bytes)
+    }
+
+    /// Returns whether what the client leaves unread is charged. It is not while the connections
+    /// that are closed for it still hold their bytes.
+    pub(super) fn is_unread_charged(&self) -> bool {
+        let bytes = self.unread_bytes.get();
+        !self.is_blocked.get()
+            || self.unread.borrow().bytes() >= bytes
+            || self.unread.borrow_mut().resize(bytes).is_ok()
     }
 }
 
@@ -290,7 +325,7 @@
 }
 
 /// Returns the refusal of a request for which the account is short.
-fn no_memory() -> refusal::Refusal {
+pub(super) fn no_memory() -> refusal::Refusal {
     let reason = "the instance has no memory left for the request";
     refusal::Refusal::not_run(code::Code::InstanceOverloaded, reason)
 }
--- a/damaskdrift/src/entry/intake/mod.rs
+++ b/damaskdrift/src/entry/intake/mod.rs
@@ -32,6 +32,8 @@
 const CHECK_BYTES: usize = 4 * limits::CONNECTION_BYTES;
 /// Interval between checks of the connections' progress.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two checks from which the process counts as frozen meanwhile.
+const MAX_CHECK_GAP: Millis = Millis(1_000);
 /// Interval between log lines for one reason.
 const LOG_INTERVAL: Millis = Millis(1_000);
 /// How often an admission yields to the connections that are closed for it. They return what they
@@ -178,16 +180,24 @@
 
     /// Checks the progress of all connections until the process ends.
     pub async fn watch(self: Rc<Self>) {
+        let mut checked_at = clock::now();
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let now = clock::now();
+            let elapsed = now.since(std::mem::replace(&mut checked_at, now));
+            if elapsed >= MAX_CHECK_GAP {
+                // The process was frozen. What clients sent meanwhile is read first.
+                continue;
+            }
             let overdue = self.connections.borrow().overdue(&self.timeouts.get(), now);
             for (id, reason) in overdue {
                 self.close(id, reason);
             }
-            for conn in self.open.borrow().values() {
+            for (id, conn) in &*self.open.borrow() {
                 if conn.refused_at().is_some_and(|at| now.since(at) >= REFUSAL_TIME) {
                     conn.close();
+                } else if !conn.is_unread_charged() && self.is_stalled(*id, now) {
+                    self.close(*id, limits::Reason::MemoryShort);
                 }
             }
             self.log_closed(now);
@@ -195,6 +205,10 @@
         }
     }
 
+    fn is_stalled(&self, id: limits::Id, now: Millis) -> bool {
+        self.connections.borrow().is_stalled(id, now)
+    }
+
     /// Logs closed connections, at most once a second for each reason.
     fn log_closed(&self, now: Millis) {
         for (reason, closed) in &mut *self.closed.borrow_mut() {
--- a/damaskdrift/src/entry/intake/socket.rs
+++ b/damaskdrift/src/entry/intake/socket.rs
@@ -18,14 +18,12 @@
 pub struct Socket {
     stream: TcpStream,
     conn: Rc<intake::Conn>,
-    /// Size to which the HTTP library's read buffer may grow.
-    buffer_bytes: usize,
 }
 
 impl Socket {
     /// Creates the adapter of a connection.
-    pub fn new(stream: TcpStream, conn: Rc<intake::Conn>, buffer_bytes: usize) -> Self {
-        Self { stream, conn, buffer_bytes }
+    pub fn new(stream: TcpStream, conn: Rc<intake::Conn>) -> Self {
+        Self { stream, conn }
     }
 
     fn record_write(
@@ -55,10 +53,10 @@
             self.conn.set_read_waker(cx.waker());
             return Poll::Pending;
         }
-        let before = buf.filled().len();
+        let (before, buffer_bytes) = (buf.filled().len(), buf.remaining());
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let bytes = buf.filled().len() - before;
-        if bytes > 0 && !self.conn.record_read(bytes, self.buffer_bytes) {
+        if bytes > 0 && !self.conn.record_read(bytes, buffer_bytes) {
             return Poll::Ready(Err(out_of_memory()));
         }
         Poll::Ready(Ok(()))
--- a/damaskdrift/src/entry/listener.rs
+++ b/damaskdrift/src/entry/listener.rs
@@ -127,7 +127,7 @@
     let mut http = http1::Builder::new();
     http.max_headers(limits::max_fields(header_bytes));
     let buffer_bytes = (header_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES);
-    let socket = intake::Socket::new(stream, conn.clone(), buffer_bytes);
+    let socket = intake::Socket::new(stream, conn.clone());
     serve(socket, conn, (http, buffer_bytes), close, move |req, conn| {
         forward::serve(entry.clone(), req, conn)
     })
@@ -228,7 +228,7 @@
                     Ok(response.map(|body| intake::Body::new(body, conn)))
                 }
             };
-            let socket = intake::Socket::new(stream, conn.clone(), MIN_BUFFER_BYTES);
+            let socket = intake::Socket::new(stream, conn.clone());
             let limits = (http1::Builder::new(), MIN_BUFFER_BYTES);
             let close = CancellationToken::new();
             task::spawn_local(serve(socket, conn, limits, close, respond));
--- a/damaskdrift_core/src/limits/connections.rs
+++ b/damaskdrift_core/src/limits/connections.rs
@@ -13,6 +13,8 @@
 /// Bytes that count as progress of a client that sends. Single bytes do not, since a client could
 /// hold memory with them for as long as it likes.
 const PROGRESS_BYTES: usize = 1 << 10;
+/// Part of what a connection holds, as a divisor, that counts as progress if that is more.
+const PROGRESS_PART: usize = 64;
 /// Part of the account, as a divisor, that is freed at least at a time, so that the search over all
 /// connections is not repeated for each of a crowd.
 const MIN_FREED: usize = 64;
@@ -183,9 +185,10 @@
             return;
         };
         connection.progress_bytes += bytes;
+        let progress = PROGRESS_BYTES.max(connection.bytes / PROGRESS_PART);
         match connection.phase {
             Phase::Idle => self.enter(id, Phase::Header, now),
-            Phase::Header | Phase::Body if connection.progress_bytes >= PROGRESS_BYTES => {
+            Phase::Header | Phase::Body if connection.progress_bytes >= progress => {
                 self.record_progress(id, now);
             }
             Phase::Header | Phase::Body => {}
@@ -230,6 +233,12 @@
         self.enter(id, if has_read_ahead { Phase::Header } else { Phase::Idle }, now);
     }
 
+    /// Returns whether the client of a connection has made no progress for some time.
+    pub fn is_stalled(&self, id: Id, now: Millis) -> bool {
+        let since = self.open.get(&id).and_then(Connection::stalled_since);
+        since.is_some_and(|since| now.since(since) >= MIN_STALL)
+    }
+
     /// Returns the connections whose time is over, with the reason.
     pub fn overdue(
         &self,
--- a/damaskdrift_core/src/limits/mod.rs
+++ b/damaskdrift_core/src/limits/mod.rs
@@ -14,6 +14,8 @@
 
 /// Bytes of a connection without a request: its buffers, its task and its entries in tables.
 pub const CONNECTION_BYTES: usize = 24 << 10;
+/// Read buffer that is part of them.
+pub const READ_BUFFER_BYTES: usize = 8 << 10;
 /// Bytes of a request at an upstream, beside its header and its body: the buffers of the
 /// upstream's connection and the task that forwards the response.
 pub const REQUEST_BYTES: usize = 24 << 10;
