--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod event_stream;
 mod follower;
 pub mod forward;
+mod intake;
 mod leadership;
 mod listener;
 mod notices;
