Report usage windows as a duty of the leader

Cause: the platform may ask for one report of the requests of each workspace for each window of a few seconds. Nothing counted requests by window, and no call was made under the leader's fencing token.

Change: each instance counts requests by window and workspace when a plain service's head or an engine's first chunk arrives. Counts are cumulative by process and go to the leader through mesh and relay reports. The window follows the median of the instances' wall clocks. The leader settles a window in the store before the call, and repeats a call only with the same content.

--- a/damaskdrift/src/entry/clock.rs
+++ b/damaskdrift/src/entry/clock.rs
@@ -13,3 +13,10 @@
     let nanos = u64::try_from(now.tv_nsec).unwrap_or(0);
     Millis(secs * 1_000 + nanos / 1_000_000)
 }
+
+/// Returns the wall clock minus [`now`], in milliseconds. The wall clock may step at any time.
+pub fn wall_offset() -> i64 {
+    let wall = time::clock_gettime(time::ClockId::Realtime);
+    let wall_ms = wall.tv_sec.saturating_mul(1_000).saturating_add(wall.tv_nsec / 1_000_000);
+    wall_ms.saturating_sub(i64::try_from(now().0).unwrap_or(i64::MAX))
+}
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -22,6 +22,7 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::forward;
 use crate::entry::forward::{headers, job};
 use crate::entry::notices;
@@ -201,7 +202,7 @@
         let notice = self.entry.port.decode_notice(&parts, &self.head.id, id);
         notices::apply(self.entry, guard.recipient(), notice, is_taken, &self.head.id);
         match check {
-            port::ResponseCheck::Valid => {}
+            port::ResponseCheck::Valid => self.count_begun(&mut guard),
             port::ResponseCheck::NotRun => {
                 let status = parts.status;
                 guard.end_ticket(rollout::Outcome::Failed);
@@ -219,6 +220,8 @@
                 return job::Outcome::NotRun(reason);
             }
             port::ResponseCheck::Mismatched(reason) => {
+                // Only a refusal that says so proves that the upstream did not begin the request.
+                duties::count(self.entry, self.workspace.map(|workspace| &workspace.id));
                 guard.observe(balance::Observation::TransportError);
                 return job::Outcome::Unknown(code::Code::UpstreamBroken, reason.to_owned());
             }
@@ -245,6 +248,18 @@
         job::Outcome::Forwarded(head.map(|()| body))
     }
 
+    /// Counts the request for its workspace: now, or if it has a prompt, with its first chunk.
+    fn count_begun(&self, guard: &mut relay::RequestGuard) {
+        let Some(workspace) = self.workspace else {
+            return;
+        };
+        if self.head.prompt.is_some() {
+            guard.count_at_first_chunk(&workspace.id);
+        } else {
+            duties::count(self.entry, Some(&workspace.id));
+        }
+    }
+
     /// Reads a small refusal to its end, and then returns the connection to the pool.
     ///
     /// A faulty upstream may send a refusal again in place of a later response. If it names no
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod cache_stores;
 pub mod client;
 mod clock;
+mod duties;
 mod event_stream;
 mod follower;
 pub mod forward;
@@ -27,4 +28,4 @@
 mod weights;
 
 pub use run::{Error, run};
-pub use settings::Settings;
+pub use settings::{Duties, Settings};
--- a/damaskdrift/src/entry/peers/mod.rs
+++ b/damaskdrift/src/entry/peers/mod.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::listener;
 use crate::entry::quarantine;
 use crate::entry::state;
@@ -70,6 +71,7 @@
         entry.observed_weights.borrow_mut().expire(now);
         quarantine::update(&entry);
         log_silence(&entry, &mut silent, now);
+        duties::begin_round(&entry);
         tx.send_replace(outgoing(&entry));
         tokio::time::sleep(report_pause(&entry)).await;
     }
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -6,6 +6,7 @@
 use damaskdrift_core::time::Millis;
 
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::notices;
 use crate::entry::quarantine;
 use crate::entry::rollouts;
@@ -79,6 +80,7 @@
         membership::Role::Leaf => entry.cache_stores.borrow().needing_snapshot(),
         membership::Role::Mesh | membership::Role::Relay => Vec::new(),
     };
+    let usage = duties::encode(entry, &scope, |reporter| includes(Some(reporter)));
     message::Frame::Load(Box::new(message::Load {
         instance: entry.settings.instance.to_string(),
         failure_domain: entry.settings.domain.to_string(),
@@ -95,6 +97,7 @@
         notices: notices::encode(entry, &includes, now),
         quarantine: quarantine::encode(entry),
         rollouts: rollouts::reports(entry, |reporter| includes(Some(reporter))),
+        usage,
     }))
 }
 
@@ -125,6 +128,9 @@
     if let Some(message) = &report.quarantine {
         quarantine::apply(entry, message);
     }
+    if let Some(usage) = &report.usage {
+        duties::apply(entry, &reporter, &report.failure_domain, usage);
+    }
     if !counts(&reporter, role) {
         return;
     }
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::state;
@@ -308,6 +309,7 @@
     out_of_service: BTreeSet<id::FailureDomain>,
     rollouts: BTreeSet<id::Service>,
     has_leader: bool,
+    has_duty_record: bool,
 }
 
 /// Applies items of the store and returns what they list.
@@ -377,6 +379,10 @@
                 listed.has_leader = leader.is_some();
                 *entry.leader.borrow_mut() = leader;
             }
+            port::Change::DutyRecord(change) => {
+                listed.has_duty_record = change.revision > 0;
+                duties::set_record(entry, change);
+            }
             // A removal is always readable.
             port::Change::Unreadable { .. } => {}
         }
@@ -400,6 +406,9 @@
     entry.set_instances(&listed.instances);
     entry.out_of_service.borrow_mut().retain(|domain| listed.out_of_service.contains(domain));
     entry.rollouts.borrow_mut().retain_orders(|service| listed.rollouts.contains(service));
+    if !listed.has_duty_record {
+        duties::record_absent(entry);
+    }
     if !listed.has_leader {
         *entry.leader.borrow_mut() = None;
     }
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use damaskdrift_core::balance;
+use damaskdrift_core::duty;
 use damaskdrift_core::id;
 use damaskdrift_core::prefix_cache;
 use damaskdrift_core::rollout;
@@ -142,6 +143,8 @@
     Instance(id::Instance, Option<Registration>),
     /// An instance became leader under a fencing token, or there is no leader (`None`).
     Leader(Option<(id::Instance, id::FencingToken)>),
+    /// The record of the duties was written, or removed.
+    DutyRecord(DutyRecord),
     /// An item could not be decoded.
     Unreadable {
         /// Key of the item.
@@ -153,6 +156,40 @@
     },
 }
 
+/// The record of the duties in the platform store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutyRecord {
+    /// The record; `None` if it was removed or cannot be decoded.
+    pub record: Option<duty::Record>,
+    /// Revision that a write must replace; 0 if there is no record.
+    pub revision: u64,
+}
+
+/// A call of a duty.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DutyCall {
+    /// Reports the requests of a usage window by workspace.
+    Usage {
+        /// Number of the window.
+        window: u64,
+        /// Requests by workspace.
+        counts: duty::WindowCounts,
+    },
+}
+
+/// Reply to a call of a duty.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DutyReply {
+    /// The call was accepted, now or before.
+    Accepted,
+    /// A call with a higher fencing token was accepted.
+    Fenced,
+    /// All instances together made too many calls.
+    TooManyCalls,
+    /// The call was refused with this status.
+    Refused(u16),
+}
+
 /// A written or removed item of the platform store, still encoded.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Item {
@@ -330,6 +367,24 @@
         fence: id::FencingToken,
     ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
 
+    /// Writes the record of the duties and returns the revision of the write.
+    ///
+    /// Returns `None` if the record in the store no longer has the revision of this one, or if
+    /// another leader has claimed leadership since.
+    fn put_duty_record<'a>(
+        &'a self,
+        record: &'a duty::Record,
+        fence: id::FencingToken,
+    ) -> LocalBoxFuture<'a, Result<Option<u64>, StoreError>>;
+
+    /// Makes a call of a duty. One that fails may still be executed later.
+    fn call_duty<'a>(
+        &'a self,
+        call: &'a DutyCall,
+        holder: &'a id::Instance,
+        fence: id::FencingToken,
+    ) -> LocalBoxFuture<'a, Result<DutyReply, client::Failure>>;
+
     /// Requests the status report of a model engine.
     fn engine_report(
         &self,
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -17,6 +17,7 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::event_stream;
 use crate::entry::notices;
 use crate::entry::quarantine;
@@ -39,6 +40,8 @@
     exposure: Option<quarantine::Exposure>,
     /// The request as evidence on a rollout, if one is running.
     ticket: Option<rollouts::Ticket>,
+    /// Workspace for which the request counts as begun when its first chunk arrives.
+    uncounted: Option<id::Workspace>,
 }
 
 /// Reason for which the instance aborted a response after its head was forwarded.
@@ -108,6 +111,7 @@
             expected_first_chunk,
             exposure: None,
             ticket: None,
+            uncounted: None,
         }
     }
 
@@ -128,6 +132,11 @@
         self
     }
 
+    /// Counts the request for a workspace as begun once its first chunk arrives.
+    pub fn count_at_first_chunk(&mut self, workspace: &id::Workspace) {
+        self.uncounted = Some(workspace.clone());
+    }
+
     /// Records that the upstream's connection broke before the end of the answer.
     pub fn record_break(&mut self) {
         if let Some(exposure) = self.exposure.take() {
@@ -151,6 +160,9 @@
 
     /// Records the arrival of the first chunk of the response.
     fn observe_first_chunk(&mut self) {
+        if let Some(workspace) = self.uncounted.take() {
+            duties::count(&self.entry, Some(&workspace));
+        }
         let now = clock::now();
         if self.request.pending_prefill >= NOTIFY_PREFILL_TOKENS {
             self.entry.report_due.notify_one();
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -16,6 +16,7 @@
 use crate::entry::cache_stores;
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::leadership;
 use crate::entry::listener;
 use crate::entry::observe;
@@ -77,6 +78,7 @@
     task::spawn_local(cache_stores::run(entry.clone()));
     task::spawn_local(observe::run(entry.clone()));
     task::spawn_local(rollouts::run(entry.clone()));
+    task::spawn_local(duties::run(entry.clone()));
     let registration = task::spawn_local(leadership::register(entry.clone()));
     let weights = task::spawn_local(weights::run(entry.clone()));
     tokio::select! {
--- a/damaskdrift/src/entry/settings.rs
+++ b/damaskdrift/src/entry/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use damaskdrift_core::duty;
 use damaskdrift_core::id;
 use damaskdrift_core::retry;
 use damaskdrift_core::rollout;
@@ -43,4 +44,20 @@
     pub turn: Millis,
     /// Minimum TTL of a lease in the platform store.
     pub shortest_lease: Millis,
+    /// Duties that the leader performs for the fleet; `None` if the platform asks for none.
+    pub duties: Option<Duties>,
+}
+
+/// Duties that the leader performs for the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Duties {
+    /// Time limits of usage reports; `None` if they are no duty.
+    pub usage: Option<duty::UsageRules>,
+    /// Whether the leader orders the number of upstreams of services that may be scaled.
+    pub does_scaling: bool,
+    /// Largest number of calls per second of all instances together.
+    pub calls_per_s: f64,
+    /// Minimum time between the actions of another holder and of an instance that held the duties
+    /// before it.
+    pub turn: Millis,
 }
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -20,6 +20,7 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::quarantine;
@@ -167,6 +168,8 @@
     pub follower: follower::Follower,
     /// Changes received from relays, in order.
     pub relayed_changes: mpsc::Sender<message::Changes>,
+    /// Duties that the leader performs for the fleet.
+    pub duties: duties::Duties,
     instances: RefCell<BTreeMap<id::Instance, Member>>,
     layout: RefCell<Rc<membership::Layout>>,
     registered_instances: RefCell<Rc<[id::Instance]>>,
@@ -182,6 +185,7 @@
         let (relayed_changes, queue) = mpsc::channel(RELAYED_CHANGES_QUEUE);
         let entry = Rc::new(Self {
             retry_windows: RefCell::new(retry::RetryWindows::new(settings.repeats, clock::now())),
+            duties: duties::Duties::new(&settings),
             settings,
             port,
             client,
@@ -308,6 +312,13 @@
         self.registered_instances.borrow().clone()
     }
 
+    /// Returns the registered instances with their failure domains.
+    pub fn registered_domains(&self) -> Vec<(id::Instance, id::FailureDomain)> {
+        let instances = self.instances.borrow();
+        let registered = instances.iter().filter(|(_, member)| member.expires_at.is_none());
+        registered.map(|(id, member)| (id.clone(), member.registration.domain.clone())).collect()
+    }
+
     /// Returns the registration of an instance, unless it has ended.
     pub fn registration(&self, instance: &id::Instance) -> Option<port::Registration> {
         let instances = self.instances.borrow();
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::leadership;
 use crate::entry::notices;
 use crate::entry::port;
@@ -90,6 +91,7 @@
     let mut lease: Option<leadership::HeldLease> = None;
     let mut term = Term::default();
     let mut driver = rollouts::Driver::default();
+    let mut duties = duties::Driver::new(&entry.settings);
     let mut next_claim = clock::now();
     while !entry.stopping.is_cancelled() {
         let now = clock::now();
@@ -117,6 +119,12 @@
                 next_claim = clock::now() + entry.settings.turn;
             }
         }
+        if !duties.tick(&entry, lease.as_ref()) {
+            log::warn!("the duties have a newer holder; releasing leadership");
+            term = Term::default();
+            leadership::release(&entry, lease.take()).await;
+            next_claim = clock::now() + leadership::claim_backoff(&entry);
+        }
         tokio::select! {
             () = tokio::time::sleep(TICK) => {}
             () = entry.stopping.cancelled() => {}
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -195,6 +195,35 @@
     /// Evidence on running rollouts of software versions.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutEvidence>,
+    /// Clocks and counts of requests; absent where usage reports are no duty or none is due.
+    #[serde(rename = "y", default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
+
+/// Wall clocks of instances, and numbers of requests that upstreams began.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Usage {
+    /// Lowest of the wall clocks when the report was sent, in milliseconds.
+    #[serde(rename = "t")]
+    pub clock_ms: u64,
+    /// Differences of other wall clocks from the lowest, in milliseconds.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub spread: Vec<i64>,
+    /// Number of instances whose clocks these represent.
+    #[serde(rename = "n")]
+    pub instances: u32,
+    /// Random number of the sender's process.
+    #[serde(rename = "b", default)]
+    pub boot: u64,
+    /// Unix time in milliseconds up to which the counts are complete.
+    #[serde(rename = "u", default)]
+    pub complete_until: u64,
+    /// First window that began after the start of an instance that the sender knows of.
+    #[serde(rename = "f", default)]
+    pub first_window: u64,
+    /// By window that is not settled, the number of requests by workspace.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub counts: Vec<(u64, Vec<(String, u64)>)>,
 }
 
 /// Evidence on the rollout of a service's software version.
--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod block;
 pub mod code;
 pub mod config_sync;
+pub mod duty;
 pub mod fleet;
 pub mod id;
 pub mod idempotency;
