Order the number of upstreams as a duty of the leader

Cause: services may be scaled by the platform's cloud; every registered upstream costs money, and nothing ordered their number.

Orders are in the store record before their call.

--- a/damaskdrift/src/entry/duties/holder.rs
+++ b/damaskdrift/src/entry/duties/holder.rs
@@ -1,4 +1,5 @@
-//! Work of the instance that holds the duties: it settles usage windows and reports them.
+//! Work of the instance that holds the duties: it settles usage windows, decides on orders, and makes
+//! the calls.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 use crate::entry::client;
 use crate::entry::clock;
 use crate::entry::duties;
+use crate::entry::duties::scaling;
 use crate::entry::leadership;
 use crate::entry::port;
 use crate::entry::settings;
@@ -29,12 +31,15 @@
 /// Time for which an instance must have received reports before it settles a window without those of
 /// some instances. Other instances connect to a new one within this time.
 const LISTENING_TIME: Millis = Millis(2_500);
-/// Time between two ticks from which the instance was frozen and has missed reports.
-const FREEZE_LIMIT: Millis = Millis(1_000);
+/// Shortest time between two times at which an instance gives up its leadership because it does not
+/// hear of most others.
+const CUT_OFF_INTERVAL: Millis = Millis(60_000);
 
 /// A call that has ended.
 struct EndedCall {
     subject: Subject,
+    /// The order that the call is about.
+    order: Option<duty::ScaleOrder>,
     fence: id::FencingToken,
     result: Result<port::DutyReply, client::Failure>,
 }
@@ -44,6 +49,8 @@
 enum Subject {
     /// The report of a usage window.
     Usage(u64),
+    /// The number of upstreams of a service in a failure domain.
+    Scale(id::Service, id::FailureDomain),
 }
 
 /// State of the calls about one subject.
@@ -54,8 +61,21 @@
     next_at: Millis,
 }
 
-/// The result of a write of the record.
-type Written = (duty::Record, Result<Option<u64>, port::StoreError>);
+/// What a write of the record adds to it.
+#[derive(Debug, Default)]
+struct Additions {
+    windows: Vec<duty::Settled>,
+    /// Time by which the counts of an instance end before the end of the first window.
+    missing: Millis,
+    orders: Vec<duty::ScaleOrder>,
+}
+
+/// A write of the record that has ended.
+struct Written {
+    record: duty::Record,
+    additions: Additions,
+    result: Result<Option<u64>, port::StoreError>,
+}
 
 /// Performs the duties while this instance is the leader.
 #[derive(Debug)]
@@ -75,9 +95,9 @@
     call_states: BTreeMap<Subject, CallState>,
     write: JoinSet<Written>,
     next_write: Millis,
-    listening_since: Millis,
-    last_tick: Millis,
-    last_role: membership::Role,
+    scaling: Option<scaling::Scaling>,
+    /// When the instance last gave up its leadership because it does not hear of most others.
+    cut_off_at: Option<Millis>,
 }
 
 impl Driver {
@@ -93,32 +113,40 @@
             call_states: BTreeMap::new(),
             write: JoinSet::new(),
             next_write: Millis(0),
-            listening_since: now,
-            last_tick: now,
-            last_role: membership::Role::default(),
+            scaling: duties.does_scaling.then(scaling::Scaling::default),
+            cut_off_at: None,
         });
         Self { work }
     }
 
-    /// Performs what is due. Returns `false` if the instance must give up its leadership because a
-    /// higher fencing token was seen.
+    /// Performs what is due. Returns `false` if the instance must give up its leadership, because a
+    /// higher fencing token was seen or because it does not hear of most others.
     pub fn tick(
         &mut self,
         entry: &Rc<state::Entry>,
         lease: Option<&leadership::HeldLease>,
     ) -> bool {
-        self.work.as_mut().is_none_or(|work| work.tick(entry, lease))
+        let (Some(work), Some(state)) = (&mut self.work, &entry.duties.state) else {
+            return true;
+        };
+        work.tick(entry, state, lease)
     }
 }
 
 impl Work {
-    fn tick(&mut self, entry: &Rc<state::Entry>, lease: Option<&leadership::HeldLease>) -> bool {
+    fn tick(
+        &mut self,
+        entry: &Rc<state::Entry>,
+        state: &duties::State,
+        lease: Option<&leadership::HeldLease>,
+    ) -> bool {
         let now = clock::now();
-        let role = entry.layout().role;
-        if now.since(self.last_tick) >= FREEZE_LIMIT || role != self.last_role {
-            self.listening_since = now;
+        // Observed by every instance that knows the load, so that a new holder can decide.
+        if let Some(scaling) = &mut self.scaling
+            && entry.layout().role != membership::Role::Leaf
+        {
+            scaling.observe(entry, state);
         }
-        (self.last_tick, self.last_role) = (now, role);
         self.update_holding(entry, lease, now);
         self.record_ended_calls(entry);
         self.record_written(entry);
@@ -128,8 +156,10 @@
         let Some(fence) = self.holding.token(now) else {
             return true;
         };
-        self.settle(entry, fence);
-        self.report(entry, fence);
+        if !self.write_due(entry, state, fence) {
+            return false;
+        }
+        self.call_due(entry, fence);
         true
     }
 
@@ -159,84 +189,81 @@
         }
     }
 
-    /// Writes the windows that are due to the store.
-    fn settle(&mut self, entry: &Rc<state::Entry>, fence: id::FencingToken) {
+    /// Writes the windows and orders that are due to the store. Returns `false` if the instance does
+    /// not hear of most others, so that one of them should do it.
+    fn write_due(
+        &mut self,
+        entry: &Rc<state::Entry>,
+        state: &duties::State,
+        fence: id::FencingToken,
+    ) -> bool {
         let now = clock::now();
-        let Some(usage) = &entry.duties.usage else {
-            return;
-        };
         if !self.write.is_empty() || now < self.next_write {
-            return;
+            return true;
         }
-        let true_now = usage.true_time(entry);
-        let may_miss = now.since(self.listening_since) >= LISTENING_TIME;
-        let ledger = usage.ledger.borrow();
+        let is_listening = now.since(state.listening_since.get()) >= LISTENING_TIME;
         let mut record = entry.duties.record.borrow().clone();
-        let registered = entry.registered_domains();
-        let complete_until =
-            ledger.complete_until(registered.iter().map(|(id, domain)| (id, domain)), true_now);
-        let due = usage.rules.due(&ledger, &record, complete_until, may_miss, true_now);
-        if due.is_empty() {
-            return;
+        let mut additions = settle(entry, state, &record, is_listening);
+        if additions.missing > Millis(0) && self.is_cut_off(entry, state, now) {
+            return false;
         }
-        let mut settled = Vec::with_capacity(due.len());
-        for window in due {
-            let counts = ledger.total(window);
-            let requests: u64 = counts.values().sum();
-            let missing_ms = usage.rules.end_of(window).0.saturating_sub(complete_until.0);
-            let workspaces = counts.len();
-            log::info!(
-                window, requests, workspaces, missing_ms, fence:% = fence; "usage window settled"
-            );
-            settled.push(duty::Settled { window, counts, is_acknowledged: false });
+        if let Some(scaling) = self.scaling.as_ref().filter(|_| is_listening) {
+            additions.orders = scaling.due(entry, &record, state.true_time());
         }
-        record.settle(settled);
-        self.spawn_write(entry, record, fence);
-    }
-
-    fn spawn_write(
-        &mut self,
-        entry: &Rc<state::Entry>,
-        record: duty::Record,
-        fence: id::FencingToken,
-    ) {
+        if additions.windows.is_empty() && additions.orders.is_empty() {
+            return true;
+        }
+        record.settle(additions.windows.clone());
+        record.order(additions.orders.clone());
         let entry = entry.clone();
         self.write.spawn_local(async move {
-            let written = entry.port.put_duty_record(&record, fence).await;
-            (record, written)
+            let result = entry.port.put_duty_record(&record, fence).await;
+            Written { record, additions, result }
         });
+        true
+    }
+
+    /// Returns whether this instance hears of less than half of the registered instances, unless it
+    /// gave up its leadership for this reason not long ago.
+    fn is_cut_off(&mut self, entry: &state::Entry, state: &duties::State, now: Millis) -> bool {
+        let (heard, registered) =
+            (state.heard_instances(entry), entry.registered_instances().len());
+        if heard * 2 >= registered
+            || self.cut_off_at.is_some_and(|at| now.since(at) < CUT_OFF_INTERVAL)
+        {
+            return false;
+        }
+        log::warn!(heard, registered; "most instances are not heard of");
+        self.cut_off_at = Some(now);
+        true
     }
 
     fn record_written(&mut self, entry: &Rc<state::Entry>) {
         while let Some(written) = self.write.try_join_next() {
-            let pause = clock::now() + WRITE_RETRY_PAUSE;
-            match written {
-                Ok((record, Ok(Some(revision)))) => {
-                    let change = port::DutyRecord { record: Some(record), revision };
-                    duties::set_record(entry, change);
-                    metrics::counter!("duty_record_writes").increment(1);
-                }
-                Ok((_, Ok(None))) => {
-                    log::info!("record of duties not written; another one is newer");
-                    self.next_write = pause;
-                }
-                Ok((_, Err(error))) => {
-                    log::warn!(cause:% = error; "record of duties not written");
-                    self.next_write = pause;
-                }
+            let written = match written {
+                Ok(written) => written,
                 Err(error) => {
                     log::error!(cause:% = error; "task that writes the record of duties failed");
-                    self.next_write = pause;
+                    continue;
+                }
+            };
+            self.next_write = clock::now() + WRITE_RETRY_PAUSE;
+            match written.result {
+                Ok(Some(revision)) => {
+                    self.next_write = Millis(0);
+                    let change = port::DutyRecord { record: Some(written.record), revision };
+                    duties::set_record(entry, change);
+                    metrics::counter!("duty_record_writes").increment(1);
+                    log_additions(&written.additions, revision);
                 }
+                Ok(None) => log::info!("record of duties not written; another one is newer"),
+                Err(error) => log::warn!(cause:% = error; "record of duties not written"),
             }
         }
     }
 
-    /// Reports settled windows that were not accepted yet, oldest first.
-    fn report(&mut self, entry: &Rc<state::Entry>, fence: id::FencingToken) {
-        if entry.duties.usage.is_none() {
-            return;
-        }
+    /// Makes the calls that were not accepted yet: reports of windows, oldest first, then orders.
+    fn call_due(&mut self, entry: &Rc<state::Entry>, fence: id::FencingToken) {
         let now = clock::now();
         let record = entry.duties.record.borrow();
         metrics::gauge!("usage_windows_unreported").set(record.unacknowledged().count() as f64);
@@ -245,9 +272,24 @@
             if !self.may_call(&subject, now) {
                 continue;
             }
-            let call =
-                port::DutyCall::Usage { window: settled.window, counts: settled.counts.clone() };
-            self.spawn_call(entry, subject, call, fence);
+            let counts = settled.counts.clone();
+            let call = port::DutyCall::Usage { window: settled.window, counts };
+            self.spawn_call(entry, (subject, None), call, fence);
+        }
+        if self.scaling.is_none() {
+            return;
+        }
+        for order in record.orders.iter().filter(|order| !order.is_acknowledged) {
+            let subject = Subject::Scale(order.service.clone(), order.domain.clone());
+            if !self.may_call(&subject, now) {
+                continue;
+            }
+            let call = port::DutyCall::Scale {
+                service: order.service.clone(),
+                domain: order.domain.clone(),
+                count: order.count,
+            };
+            self.spawn_call(entry, (subject, Some(order.clone())), call, fence);
         }
     }
 
@@ -264,7 +306,7 @@
     fn spawn_call(
         &mut self,
         entry: &Rc<state::Entry>,
-        subject: Subject,
+        (subject, order): (Subject, Option<duty::ScaleOrder>),
         call: port::DutyCall,
         fence: id::FencingToken,
     ) {
@@ -278,7 +320,7 @@
         let entry = entry.clone();
         self.calls.spawn_local(async move {
             let result = entry.port.call_duty(&call, &entry.settings.instance, fence).await;
-            EndedCall { subject, fence, result }
+            EndedCall { subject, order, fence, result }
         });
     }
 
@@ -299,7 +341,7 @@
 
     fn record_ended_call(&mut self, entry: &Rc<state::Entry>, call: EndedCall) {
         let now = clock::now();
-        let EndedCall { subject, fence, result } = call;
+        let EndedCall { subject, order, fence, result } = call;
         let outcome = match &result {
             Ok(port::DutyReply::Accepted) => "accepted",
             Ok(port::DutyReply::Fenced) => "fenced",
@@ -312,8 +354,13 @@
             Ok(port::DutyReply::Accepted) => {
                 log::info!(subject:?, fence:% = fence; "call of a duty accepted");
                 self.call_states.remove(&subject);
-                let Subject::Usage(window) = subject;
-                entry.duties.record.borrow_mut().acknowledge(window);
+                let mut record = entry.duties.record.borrow_mut();
+                if let Subject::Usage(window) = subject {
+                    record.acknowledge(window);
+                }
+                if let Some(order) = order {
+                    record.acknowledge_order(&order);
+                }
                 return;
             }
             Ok(port::DutyReply::Fenced) => {
@@ -343,3 +390,43 @@
         }
     }
 }
+
+/// Returns the windows that are due to be settled, with their counts.
+fn settle(
+    entry: &state::Entry,
+    state: &duties::State,
+    record: &duty::Record,
+    may_miss: bool,
+) -> Additions {
+    let mut additions = Additions::default();
+    let Some(rules) = &state.rules else {
+        return additions;
+    };
+    let true_now = state.true_time();
+    let ledger = state.ledger.borrow();
+    let registered = entry.registered_domains();
+    let complete_until =
+        ledger.complete_until(registered.iter().map(|(id, domain)| (id, domain)), true_now);
+    for window in rules.due(&ledger, record, complete_until, may_miss, true_now) {
+        let missing = Millis(rules.end_of(window).0.saturating_sub(complete_until.0));
+        additions.missing = additions.missing.max(missing);
+        let counts = ledger.total(window);
+        additions.windows.push(duty::Settled { window, counts, is_acknowledged: false });
+    }
+    additions
+}
+
+fn log_additions(additions: &Additions, revision: u64) {
+    let missing_ms = additions.missing.0;
+    for settled in &additions.windows {
+        let requests: u64 = settled.counts.values().sum();
+        let (window, workspaces) = (settled.window, settled.counts.len());
+        log::info!(window, requests, workspaces, missing_ms, revision; "usage window settled");
+    }
+    for order in &additions.orders {
+        log::info!(
+            service:% = order.service, domain:% = order.domain, count = order.count, revision;
+            "number of upstreams decided"
+        );
+    }
+}
--- a/damaskdrift/src/entry/duties/mod.rs
+++ b/damaskdrift/src/entry/duties/mod.rs
@@ -1,19 +1,23 @@
-//! Duties that the leader performs for the fleet, and the counts of requests that it needs for them.
+//! Duties that the leader performs for the fleet, and what it needs to know of other instances.
 //!
-//! Without the duties in the settings, nothing here does anything and no message grows.
+//! Without duties in the settings, nothing here does anything and no message grows.
 
 mod holder;
 mod report;
+mod scaling;
 
 pub use holder::Driver;
 pub use report::{apply, begin_round, encode};
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use damaskdrift_core::balance;
 use damaskdrift_core::duty;
 use damaskdrift_core::id;
+use damaskdrift_core::membership;
 use damaskdrift_core::time::{Millis, UnixMillis};
 use rand::RngExt as _;
 
@@ -26,12 +30,16 @@
 /// How often new counts are reported to other instances. What an instance counted since is lost if
 /// it is killed.
 const REPORT_INTERVAL: Millis = Millis(200);
+/// Time between two rounds of [`run`] from which the instance was frozen and has missed reports.
+const FREEZE_LIMIT: Millis = Millis(1_000);
+/// Time for which a number of waiting requests counts.
+const WAITING_TTL: Millis = Millis(1_500);
 
 /// What an instance knows of the duties.
 #[derive(Debug, Default)]
 pub struct Duties {
-    /// Clocks, counts and settled windows; `None` if usage reports are no duty.
-    usage: Option<Usage>,
+    /// `None` if the fleet has no duties.
+    state: Option<State>,
     /// What the holders of the duties have written to the store.
     record: RefCell<duty::Record>,
     /// Whether the reports to other instances that are now created include counts.
@@ -39,76 +47,121 @@
     reported_at: Cell<Millis>,
 }
 
-/// State of the usage reports.
+/// State of the duties at one instance.
 #[derive(Debug)]
-struct Usage {
-    rules: duty::UsageRules,
+struct State {
+    /// Time limits of usage reports; `None` if they are no duty.
+    rules: Option<duty::UsageRules>,
     process: duty::Process,
     clocks: RefCell<duty::Clocks>,
+    /// True time minus [`clock::now`], in milliseconds.
+    offset: Cell<i64>,
     ledger: RefCell<duty::Ledger>,
+    /// Requests that wait for room at other instances.
+    waiting: RefCell<BTreeMap<balance::Reporter, (Millis, u32)>>,
     /// Whether this instance has counted a request that it has not reported yet.
     has_news: Cell<bool>,
+    /// Since when reports of other instances arrive without interruption.
+    listening_since: Cell<Millis>,
 }
 
 impl Duties {
     /// Creates the state of a new instance.
     pub fn new(settings: &settings::Settings) -> Self {
-        let rules = settings.duties.as_ref().and_then(|duties| duties.usage);
-        let usage = rules.map(|rules| {
-            let process = duty::Process {
-                instance: settings.instance.clone(),
-                boot: rand::rng().random_range(1..u64::MAX),
-            };
-            let mut clocks = duty::Clocks::default();
-            clocks.set_own(clock::wall_offset());
-            let started_at = clocks.true_time(|_| false, clock::now());
-            let first_window = rules.window_from(started_at);
-            let ledger = duty::Ledger::new(settings.domain.clone(), process.clone(), first_window);
-            Usage {
-                rules,
-                process,
-                clocks: RefCell::new(clocks),
-                ledger: RefCell::new(ledger),
-                has_news: Cell::new(false),
-            }
-        });
-        Self { usage, ..Self::default() }
+        let state = settings.duties.as_ref().map(|duties| State::new(settings, duties.usage));
+        Self { state, ..Self::default() }
     }
 }
 
-impl Usage {
+impl State {
+    fn new(settings: &settings::Settings, rules: Option<duty::UsageRules>) -> Self {
+        let process = duty::Process {
+            instance: settings.instance.clone(),
+            boot: rand::rng().random_range(1..u64::MAX),
+        };
+        let now = clock::now();
+        let offset = clock::wall_offset();
+        let started_at = UnixMillis(now.0.saturating_add_signed(offset));
+        let first_window = rules.map_or(u64::MAX, |rules| rules.window_from(started_at));
+        let ledger = duty::Ledger::new(settings.domain.clone(), process.clone(), first_window);
+        Self {
+            rules,
+            process,
+            clocks: RefCell::default(),
+            offset: Cell::new(offset),
+            ledger: RefCell::new(ledger),
+            waiting: RefCell::default(),
+            has_news: Cell::new(false),
+            listening_since: Cell::new(now),
+        }
+    }
+
     /// Returns the true time by the clocks of all instances that this one hears of.
-    fn true_time(&self, entry: &state::Entry) -> UnixMillis {
-        let role = entry.layout().role;
+    fn true_time(&self) -> UnixMillis {
+        UnixMillis(clock::now().0.saturating_add_signed(self.offset.get()))
+    }
+
+    fn update_offset(&self, entry: &state::Entry) {
+        let (role, now) = (entry.layout().role, clock::now());
         let mut clocks = self.clocks.borrow_mut();
         clocks.set_own(clock::wall_offset());
-        clocks.true_time(|reporter| peers::counts(reporter, role), clock::now())
+        let offset = clocks.offset(|reporter| peers::counts(reporter, role), now);
+        let change = offset.abs_diff(self.offset.replace(offset));
+        if change >= FREEZE_LIMIT.0 {
+            log::warn!(change_ms = change; "estimate of true time changed");
+        }
+    }
+
+    /// Returns the number of instances whose reports arrived within the last seconds.
+    fn heard_instances(&self, entry: &state::Entry) -> usize {
+        let (role, now) = (entry.layout().role, clock::now());
+        let clocks = self.clocks.borrow();
+        clocks.sample(|reporter| peers::counts(reporter, role), now).instances as usize
+    }
+
+    /// Returns the requests that wait for room at this instance and the selected reporters.
+    fn waiting(&self, entry: &state::Entry, includes: impl Fn(&balance::Reporter) -> bool) -> u32 {
+        let now = clock::now();
+        let mut total = entry.waiting.get();
+        for (reporter, (at, waiting)) in &*self.waiting.borrow() {
+            if includes(reporter) && now.since(*at) < WAITING_TTL {
+                total = total.saturating_add(*waiting);
+            }
+        }
+        total
     }
 }
 
 /// Counts a request that an upstream began to run. Anonymous requests belong to no workspace and are
 /// not counted.
 pub fn count(entry: &state::Entry, workspace: Option<&id::Workspace>) {
-    let (Some(usage), Some(workspace)) = (&entry.duties.usage, workspace) else {
+    let (Some(state), Some(workspace)) = (&entry.duties.state, workspace) else {
+        return;
+    };
+    let Some(rules) = &state.rules else {
         return;
     };
-    let window = usage.rules.window_at(usage.true_time(entry));
-    if usage.ledger.borrow_mut().record(workspace, window) {
-        usage.has_news.set(true);
+    let window = rules.window_at(state.true_time());
+    if state.ledger.borrow_mut().record(workspace, window) {
+        state.has_news.set(true);
     } else {
         metrics::counter!("usage_counted_late").increment(1);
     }
 }
 
-/// Applies the record of settled windows that the store holds.
+/// Applies the record of the duties that the store holds.
 pub fn set_record(entry: &state::Entry, change: port::DutyRecord) {
+    let Some(state) = &entry.duties.state else {
+        return;
+    };
     let mut record = entry.duties.record.borrow_mut();
     let port::DutyRecord { record: newer, revision } = change;
     match newer {
         Some(newer) if revision > record.revision => {
             record.replace(duty::Record { revision, ..newer });
-            drop(record);
-            drop_settled(entry);
+            if let Some(last) = record.last_window() {
+                state.ledger.borrow_mut().settle(last, state.true_time());
+            }
         }
         Some(_) => {}
         // What was settled stays settled, and the next write creates or replaces the key.
@@ -121,25 +174,22 @@
     entry.duties.record.borrow_mut().revision = 0;
 }
 
-/// Drops the counts of settled windows.
-fn drop_settled(entry: &state::Entry) {
-    let Some(usage) = &entry.duties.usage else {
-        return;
-    };
-    if let Some(last) = entry.duties.record.borrow().last_window() {
-        let now = usage.true_time(entry);
-        usage.ledger.borrow_mut().settle(last, now);
-    }
-}
-
-/// Reports new counts to other instances until the process ends.
+/// Follows the clocks and reports new counts to other instances until the process ends.
 pub async fn run(entry: Rc<state::Entry>) {
-    let Some(usage) = &entry.duties.usage else {
+    let Some(state) = &entry.duties.state else {
         return;
     };
+    let mut last = clock::now();
+    let mut last_role = membership::Role::default();
     loop {
         tokio::time::sleep(Duration::from(REPORT_INTERVAL)).await;
-        if usage.has_news.take() {
+        let (now, role) = (clock::now(), entry.layout().role);
+        if now.since(last) >= FREEZE_LIMIT || role != last_role {
+            state.listening_since.set(now);
+        }
+        (last, last_role) = (now, role);
+        state.update_offset(&entry);
+        if state.has_news.take() {
             entry.report_due.notify_one();
         }
     }
--- a/damaskdrift/src/entry/duties/report.rs
+++ b/damaskdrift/src/entry/duties/report.rs
@@ -24,7 +24,7 @@
     }
 }
 
-/// Returns what a report of this scope says about usage, if anything is due.
+/// Returns what a report of this scope says about the duties, if anything is due.
 ///
 /// Leaves need no counts, because only instances that get those of all others become the leader. They
 /// need the clocks.
@@ -33,15 +33,15 @@
     scope: &message::Scope,
     includes: impl Fn(&balance::Reporter) -> bool,
 ) -> Option<message::Usage> {
-    let usage = entry.duties.usage.as_ref()?;
+    let state = entry.duties.state.as_ref()?;
     let has_counts = *scope != message::Scope::Others;
     if has_counts && !entry.duties.reports_counts.get() {
         return None;
     }
-    let true_now = usage.true_time(entry);
     let (now, role) = (clock::now(), entry.layout().role);
-    let clocks = usage.clocks.borrow();
-    let sample = clocks.sample(|reporter| includes(reporter) && peers::counts(reporter, role), now);
+    let is_included =
+        |reporter: &balance::Reporter| includes(reporter) && peers::counts(reporter, role);
+    let sample = state.clocks.borrow().sample(is_included, now);
     let first = sample.offsets.first().copied().unwrap_or_default();
     let mut report = message::Usage {
         clock_ms: now.0.saturating_add_signed(first),
@@ -52,9 +52,11 @@
     if !has_counts {
         return Some(report);
     }
-    let ledger = usage.ledger.borrow();
-    report.boot = usage.process.boot;
+    let ledger = state.ledger.borrow();
+    let true_now = state.true_time();
+    report.boot = state.process.boot;
     report.first_window = ledger.first_window();
+    report.waiting = state.waiting(entry, is_included);
     let counts = match scope {
         message::Scope::Domain(_) => {
             let own_domain = &entry.settings.domain;
@@ -76,14 +78,14 @@
     Some(report)
 }
 
-/// Applies what another instance reports about usage.
+/// Applies what another instance reports about the duties.
 pub fn apply(
     entry: &state::Entry,
     reporter: &balance::Reporter,
     failure_domain: &str,
     report: &message::Usage,
 ) {
-    let Some(usage) = &entry.duties.usage else {
+    let Some(state) = &entry.duties.state else {
         return;
     };
     let now = clock::now();
@@ -91,10 +93,10 @@
     let mut offsets = vec![first];
     offsets.extend(report.spread.iter().map(|delta| first.saturating_add(*delta)));
     let sample = duty::Sample { instances: report.instances, offsets };
-    usage.clocks.borrow_mut().set_report(reporter.clone(), sample, now);
+    state.clocks.borrow_mut().set_report(reporter.clone(), sample, now);
     let domain = id::FailureDomain::new(failure_domain);
-    let complete_until = UnixMillis(report.complete_until);
-    let mut ledger = usage.ledger.borrow_mut();
+    let complete_until = UnixMillis(report.complete_until).min(state.true_time());
+    let mut ledger = state.ledger.borrow_mut();
     match reporter {
         balance::Reporter::Instance(instance) => {
             let process = duty::Process { instance: instance.clone(), boot: report.boot };
@@ -107,6 +109,7 @@
         balance::Reporter::Others => return,
     }
     ledger.record_first_window(report.first_window);
+    state.waiting.borrow_mut().insert(reporter.clone(), (now, report.waiting));
 }
 
 /// Returns the offset of a wall clock that shows `wall_ms` from the boot-time clock.
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -175,6 +175,15 @@
         /// Requests by workspace.
         counts: duty::WindowCounts,
     },
+    /// Orders the number of upstreams of a service in a failure domain.
+    Scale {
+        /// The service.
+        service: id::Service,
+        /// The failure domain.
+        domain: id::FailureDomain,
+        /// The number of upstreams.
+        count: u32,
+    },
 }
 
 /// Reply to a call of a duty.
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -25,6 +25,9 @@
 /// Minimum interval between report reads of an upstream with an order in progress; reports lag by
 /// a few hundred milliseconds and each read is a call to the upstream.
 const REPORT_INTERVAL: Millis = Millis(150);
+/// Time after a release of leadership in favour of another instance in which this one does not claim
+/// it. Others claim it within 1.2 s.
+const RELEASE_PAUSE: Millis = Millis(2_400);
 /// Time for which the time of a request for a report is remembered.
 const REPORT_TIME_RETENTION: Millis = Millis(10_000);
 /// How long requests avoid an upstream that was ordered to load weights, unless it reports the new
@@ -120,10 +123,10 @@
             }
         }
         if !duties.tick(&entry, lease.as_ref()) {
-            log::warn!("the duties have a newer holder; releasing leadership");
+            log::warn!("releasing leadership for another holder of the duties");
             term = Term::default();
             leadership::release(&entry, lease.take()).await;
-            next_claim = clock::now() + leadership::claim_backoff(&entry);
+            next_claim = clock::now() + RELEASE_PAUSE;
         }
         tokio::select! {
             () = tokio::time::sleep(TICK) => {}
--- a/damaskdrift/src/peer/message.rs
+++ b/damaskdrift/src/peer/message.rs
@@ -224,6 +224,13 @@
     /// By window that is not settled, the number of requests by workspace.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub counts: Vec<(u64, Vec<(String, u64)>)>,
+    /// Requests that wait for an upstream with room.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub waiting: u32,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// Evidence on the rollout of a service's software version.
--- a/damaskdrift_core/src/duty/clock.rs
+++ b/damaskdrift_core/src/duty/clock.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeMap;
 
 use crate::balance::Reporter;
-use crate::time::{Millis, UnixMillis};
+use crate::time::Millis;
 
 /// Time for which a report of clocks counts. Clocks drift by far less within it.
-const REPORT_TTL: Millis = Millis(10_000);
+const REPORT_TTL: Millis = Millis(5_000);
 /// Largest number of offsets in a sample. With nine, the median of a fleet is found to within a
 /// ninth of its clocks.
 const MAX_OFFSETS: usize = 9;
@@ -42,12 +42,11 @@
         self.reports.retain(|_, (at, _)| now.since(*at) < REPORT_TTL);
     }
 
-    /// Returns the true time by the median of this instance's clock and those of the selected
-    /// reporters.
-    pub fn true_time(&self, includes: impl Fn(&Reporter) -> bool, now: Millis) -> UnixMillis {
+    /// Returns the offset of true time by the median of this instance's clock and those of the
+    /// selected reporters.
+    pub fn offset(&self, includes: impl Fn(&Reporter) -> bool, now: Millis) -> i64 {
         let points = self.points(includes, now);
-        let offset = at_share(&points, 0.5).unwrap_or(self.own);
-        UnixMillis(now.0.saturating_add_signed(offset))
+        at_share(&points, 0.5).unwrap_or(self.own)
     }
 
     /// Returns a sample of this instance's clock and those of the selected reporters.
--- a/damaskdrift_core/src/duty/ledger.rs
+++ b/damaskdrift_core/src/duty/ledger.rs
@@ -67,7 +67,8 @@
                 *known = (*known).max(*count);
             }
         }
-        self.complete_until = self.complete_until.max(complete_until);
+        // The latest value counts: an earlier one may come from a clock that was wrong.
+        self.complete_until = complete_until;
     }
 }
 
@@ -94,7 +95,9 @@
     }
 
     fn heard_until(&self, instance: &id::Instance) -> UnixMillis {
-        let runs = self.processes.iter().filter(|(process, _)| process.instance == *instance);
+        let first = Process { instance: instance.clone(), boot: 0 };
+        let runs = self.processes.range(first..);
+        let runs = runs.take_while(|(process, _)| process.instance == *instance);
         runs.map(|(_, source)| source.complete_until).max().unwrap_or_default()
     }
 }
--- a/damaskdrift_core/src/duty/settlement.rs
+++ b/damaskdrift_core/src/duty/settlement.rs
@@ -1,6 +1,7 @@
 //! Settlement of usage windows: which windows are due, and the record of settled ones.
 
 use crate::duty::ledger;
+use crate::duty::scaling;
 use crate::time::{Millis, UnixMillis};
 
 /// Time after the end of a window from which it is settled if all counts of it are known. Reports of
@@ -46,6 +47,8 @@
     pub revision: u64,
     /// The last settled windows in ascending order.
     pub windows: Vec<Settled>,
+    /// The last order of each service and failure domain that was scaled.
+    pub orders: Vec<scaling::ScaleOrder>,
 }
 
 impl UsageRules {
@@ -133,14 +136,38 @@
         self.windows.drain(..excess);
     }
 
-    /// Replaces the record by a newer one from the store. Windows that this instance knows to be
-    /// accepted stay so.
+    /// Adds orders, which replace the last ones of the same services and failure domains.
+    pub fn order(&mut self, orders: Vec<scaling::ScaleOrder>) {
+        for order in orders {
+            let is_same =
+                |o: &scaling::ScaleOrder| o.service == order.service && o.domain == order.domain;
+            self.orders.retain(|known| !is_same(known));
+            self.orders.push(order);
+        }
+    }
+
+    /// Marks an order as accepted.
+    pub fn acknowledge_order(&mut self, accepted: &scaling::ScaleOrder) {
+        for order in &mut self.orders {
+            if order == accepted {
+                order.is_acknowledged = true;
+            }
+        }
+    }
+
+    /// Replaces the record by a newer one from the store. What this instance knows to be accepted
+    /// stays so.
     pub fn replace(&mut self, newer: Self) {
         let acknowledged: Vec<u64> =
             self.windows.iter().filter(|w| w.is_acknowledged).map(|w| w.window).collect();
+        let orders: Vec<_> = self.orders.iter().filter(|o| o.is_acknowledged).cloned().collect();
         *self = newer;
         for window in acknowledged {
             self.acknowledge(window);
         }
+        for order in orders {
+            let accepted = scaling::ScaleOrder { is_acknowledged: false, ..order };
+            self.acknowledge_order(&accepted);
+        }
     }
 }
--- a/damaskdrift_core/src/routing/document.rs
+++ b/damaskdrift_core/src/routing/document.rs
@@ -1,8 +1,10 @@
 //! The configuration document of entry instances, as written by operators.
 
+use std::collections::BTreeMap;
 use std::net;
 use std::sync::Arc;
 
+use crate::duty;
 use crate::id;
 use crate::time::Millis;
 
@@ -143,4 +145,6 @@
     pub workspaces: Option<Vec<Workspace>>,
     /// Limits on the requests and connections of callers.
     pub limits: Limits,
+    /// Services whose number of upstreams the leader orders, if that is its duty.
+    pub scaling: BTreeMap<id::Service, duty::ScalingLimits>,
 }
--- a/damaskdrift_core/src/routing/table.rs
+++ b/damaskdrift_core/src/routing/table.rs
@@ -1,8 +1,9 @@
 //! An index of the configuration for lookups by request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use crate::duty;
 use crate::id;
 use crate::prefix_cache;
 use crate::routing::document;
@@ -30,6 +31,8 @@
     pub cache_stores: Vec<document::CacheStore>,
     /// Scopes within which workspaces share cached segments.
     pub cache_scopes: prefix_cache::Scopes,
+    /// Services whose number of upstreams the leader orders, if that is its duty.
+    pub scaling: BTreeMap<id::Service, duty::ScalingLimits>,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Arc<document::Route>>>,
     services: HashMap<id::Service, document::Service>,
@@ -65,6 +68,7 @@
             limits: document.limits,
             cache_stores: document.cache_stores,
             cache_scopes,
+            scaling: document.scaling,
             hosts,
             services,
             keys,
--- a/damaskdrift_core/tests/entry.rs
+++ b/damaskdrift_core/tests/entry.rs
@@ -43,6 +43,7 @@
         services: vec![],
         cache_stores: vec![],
         workspaces: Some(vec![workspace]),
+        scaling: Default::default(),
         limits: routing::Limits {
             header_bytes: 1,
             body_bytes: 1,
