Guard the first orders and check the limits of duties

Cause: upstreams register one after another, so a first order could have been smaller than the count in force; a rollout doubles the registered count.

--- a/damaskdrift/src/entry/duties/holder.rs
+++ b/damaskdrift/src/entry/duties/holder.rs
@@ -226,8 +226,7 @@
     /// Returns whether this instance hears of less than half of the registered instances, unless it
     /// gave up its leadership for this reason not long ago.
     fn is_cut_off(&mut self, entry: &state::Entry, state: &duties::State, now: Millis) -> bool {
-        let (heard, registered) =
-            (state.heard_instances(entry), entry.registered_instances().len());
+        let (heard, registered) = (state.heard_instances(), entry.registered_instances().len());
         if heard * 2 >= registered
             || self.cut_off_at.is_some_and(|at| now.since(at) < CUT_OFF_INTERVAL)
         {
--- a/damaskdrift/src/entry/duties/mod.rs
+++ b/damaskdrift/src/entry/duties/mod.rs
@@ -54,6 +54,8 @@
     rules: Option<duty::UsageRules>,
     process: duty::Process,
     clocks: RefCell<duty::Clocks>,
+    /// The clocks of all instances, as they were at the last update.
+    sample: RefCell<duty::Sample>,
     /// True time minus [`clock::now`], in milliseconds.
     offset: Cell<i64>,
     ledger: RefCell<duty::Ledger>,
@@ -88,6 +90,7 @@
             rules,
             process,
             clocks: RefCell::default(),
+            sample: RefCell::default(),
             offset: Cell::new(offset),
             ledger: RefCell::new(ledger),
             waiting: RefCell::default(),
@@ -105,7 +108,9 @@
         let (role, now) = (entry.layout().role, clock::now());
         let mut clocks = self.clocks.borrow_mut();
         clocks.set_own(clock::wall_offset());
-        let offset = clocks.offset(|reporter| peers::counts(reporter, role), now);
+        let includes = |reporter: &balance::Reporter| peers::counts(reporter, role);
+        let offset = clocks.offset(includes, now);
+        self.sample.replace(clocks.sample(includes, now));
         let change = offset.abs_diff(self.offset.replace(offset));
         if change >= FREEZE_LIMIT.0 {
             log::warn!(change_ms = change; "estimate of true time changed");
@@ -113,10 +118,8 @@
     }
 
     /// Returns the number of instances whose reports arrived within the last seconds.
-    fn heard_instances(&self, entry: &state::Entry) -> usize {
-        let (role, now) = (entry.layout().role, clock::now());
-        let clocks = self.clocks.borrow();
-        clocks.sample(|reporter| peers::counts(reporter, role), now).instances as usize
+    fn heard_instances(&self) -> usize {
+        self.sample.borrow().instances as usize
     }
 
     /// Returns the requests that wait for room at this instance and the selected reporters.
--- a/damaskdrift/src/entry/duties/report.rs
+++ b/damaskdrift/src/entry/duties/report.rs
@@ -41,7 +41,11 @@
     let (now, role) = (clock::now(), entry.layout().role);
     let is_included =
         |reporter: &balance::Reporter| includes(reporter) && peers::counts(reporter, role);
-    let sample = state.clocks.borrow().sample(is_included, now);
+    // Leaves get many reports, and their own clocks may well count twice.
+    let sample = match scope {
+        message::Scope::Others => state.sample.borrow().clone(),
+        _ => state.clocks.borrow().sample(is_included, now),
+    };
     let first = sample.offsets.first().copied().unwrap_or_default();
     let mut report = message::Usage {
         clock_ms: now.0.saturating_add_signed(first),
--- a/damaskdrift/src/entry/duties/scaling.rs
+++ b/damaskdrift/src/entry/duties/scaling.rs
@@ -5,6 +5,7 @@
 use damaskdrift_core::balance;
 use damaskdrift_core::duty;
 use damaskdrift_core::id;
+use damaskdrift_core::rollout;
 use damaskdrift_core::routing;
 use damaskdrift_core::time::{Millis, UnixMillis};
 
@@ -37,7 +38,7 @@
         }
         self.observed_at = now;
         let registered = entry.registered_instances().len();
-        if state.heard_instances(entry) * 100 < registered * MIN_HEARD_PERCENT {
+        if state.heard_instances() * 100 < registered * MIN_HEARD_PERCENT {
             // The load of the others is not known, so it would look low.
             self.scaler.forget_load();
             return;
@@ -46,6 +47,10 @@
         let waiting = state.waiting(entry, |reporter| peers::counts(reporter, role));
         let (mut loads, mut in_flight) = (Vec::new(), 0);
         for (service, limits) in &table.scaling {
+            if is_rolled_out(entry, service) {
+                self.scaler.forget(service);
+                continue;
+            }
             let (load, domains) = load(entry, table.service(service), service, now);
             in_flight += load.in_flight;
             loads.push((service, limits, load, domains));
@@ -76,6 +81,13 @@
     }
 }
 
+/// Returns whether upstreams of a new software version run beside the others.
+fn is_rolled_out(entry: &state::Entry, service: &id::Service) -> bool {
+    let rollouts = entry.rollouts.borrow();
+    let trial = rollouts.trial(service);
+    trial.is_some_and(|trial| trial.state() == rollout::TrialState::Running)
+}
+
 /// Returns the load of a service from all instances, and the failure domains that it runs in.
 fn load(
     entry: &state::Entry,
--- a/damaskdrift_core/src/duty/scaling.rs
+++ b/damaskdrift_core/src/duty/scaling.rs
@@ -42,6 +42,9 @@
 /// Time for which the highest number of registered upstreams counts. Entries of upstreams that
 /// crashed or lapsed with the store return within it.
 const REGISTERED_MEMORY: Millis = Millis(30_000);
+/// Time for which a failure domain must have been observed before its first order. The count that was
+/// in force before is not known otherwise: upstreams register one after another.
+const FIRST_ORDER_AFTER: Millis = Millis(5_000);
 /// Time beyond the boot of an upstream after which an order is repeated if the number of registered
 /// upstreams does not equal it.
 const REPEAT_AFTER: Millis = Millis(10_000);
@@ -145,11 +148,13 @@
 }
 
 impl History {
-    /// Returns the highest number of registered upstreams in a failure domain, if it was observed
-    /// for long enough.
-    fn known_registered(&self, domain: &id::FailureDomain) -> u32 {
-        let counts = self.registered.get(domain).into_iter().flatten();
-        counts.map(|(_, count)| *count).max().unwrap_or(0)
+    /// Returns the highest recent number of registered upstreams in a failure domain, if it was
+    /// observed for long enough.
+    fn known_registered(&self, domain: &id::FailureDomain, now: Millis) -> Option<u32> {
+        let counts = self.registered.get(domain)?;
+        let (first, _) = counts.front()?;
+        let highest = counts.iter().map(|(_, count)| *count).max()?;
+        (now.since(*first) >= FIRST_ORDER_AFTER).then_some(highest)
     }
 
     /// Returns the mean used and usable upstreams since a time, if the samples cover it.
@@ -209,6 +214,11 @@
         }
     }
 
+    /// Forgets a service, for example because a rollout starts upstreams beside the others.
+    pub fn forget(&mut self, service: &id::Service) {
+        self.histories.remove(service);
+    }
+
     /// Returns the orders that are due for a service, given the last orders.
     pub fn decide(
         &self,
@@ -225,7 +235,9 @@
         for (domain, state) in &history.domains {
             let last = orders.iter().find(|o| o.service == *service && o.domain == *domain);
             // An order without a response may be executed late, after a different one.
-            if state.is_out || last.is_some_and(|last| !last.is_acknowledged) {
+            // Upstreams that are ordered where none runs would serve nobody.
+            let is_lost = state.is_out || state.registered == 0;
+            if is_lost || last.is_some_and(|last| !last.is_acknowledged) {
                 continue;
             }
             let count = self.wanted(history, domain, limits, last, now, true_now);
@@ -253,13 +265,15 @@
         now: Millis,
         true_now: UnixMillis,
     ) -> Option<u32> {
-        let registered = history.known_registered(domain);
-        let current = last.map_or(registered, |last| last.count);
+        let current = match last {
+            Some(last) => last.count,
+            None => history.known_registered(domain, now)?,
+        };
         let since_last = last.map(|last| Millis(true_now.0.saturating_sub(last.ordered_at.0)));
         let has_passed = |hold: Millis| since_last.is_none_or(|since_last| since_last >= hold);
         let active = history.domains.values().filter(|d| !d.is_out && d.registered > 0).count();
         let active = active.max(1) as f64;
-        if current > 0 && has_passed(MIN_GROW_HOLD.max(Millis(limits.boot.0 / 2))) {
+        if has_passed(MIN_GROW_HOLD.max(Millis(limits.boot.0 / 2))) {
             let (used, usable) = history.mean_since(now - HIGH_LOAD_TIME)?;
             if used >= usable * GROW_UTILIZATION && usable > 0.0 {
                 let needed = (used / TARGET_UTILIZATION / active).ceil() as u32;
@@ -280,9 +294,14 @@
             // The margin keeps a load that varies from changing the count; the minimum holds for any.
             let is_least = needed == limits.minimum && current > needed;
             if needed + margin <= current || is_least {
-                return Some(needed.max(current - step));
+                return Some(needed.max(current - step).min(limits.maximum));
             }
         }
+        // Operators may have changed the limits.
+        let permitted = current.clamp(limits.minimum, limits.maximum);
+        if permitted != current && has_passed(MIN_SHRINK_HOLD.max(limits.boot)) {
+            return Some(permitted);
+        }
         // The ordered upstreams did not come, or a late call of an earlier order came after it.
         let differs = last.is_some() && history.domains.get(domain)?.registered != current;
         (differs && has_passed(limits.boot + REPEAT_AFTER)).then_some(current)
--- a/damaskdrift_core/src/duty/settlement.rs
+++ b/damaskdrift_core/src/duty/settlement.rs
@@ -15,8 +15,8 @@
 const CLOCK_TOLERANCE: Millis = Millis(300);
 /// Number of windows that are reported after a time without a holder; older ones are left out.
 const MAX_BEHIND: u64 = 60;
-/// Number of acknowledged windows that the record keeps.
-const KEPT_ACKNOWLEDGED: usize = 4;
+/// Number of acknowledged windows that the record keeps. The last one shows which is the next.
+const KEPT_ACKNOWLEDGED: usize = 1;
 /// Number of windows that the record keeps in total. The cloud is out of reach for minutes then.
 const MAX_KEPT: usize = 64;
 
