Release leadership for the duties when the leader becomes a leaf

Cause: found by a contract test of 12 instances: an instance that started first claimed the leadership before it knew of the others, and then became a leaf. A leaf gets no counts, so it reported 4 of about 30 requests a window.

Change: with duties configured, a leader that becomes a leaf releases the leadership, and a relay claims it. Without duties nothing changes.

--- a/damaskdrift/src/entry/duties/holder.rs
+++ b/damaskdrift/src/entry/duties/holder.rs
@@ -120,7 +120,7 @@
     }
 
     /// Performs what is due. Returns `false` if the instance must give up its leadership, because a
-    /// higher fencing token was seen or because it does not hear of most others.
+    /// higher fencing token was seen or because it does not get the reports of most others.
     pub fn tick(
         &mut self,
         entry: &Rc<state::Entry>,
@@ -153,6 +153,12 @@
         if self.holding.is_fenced() {
             return false;
         }
+        // An instance that became the leader before it knew of the others. It hears of its relays'
+        // sums only, and relays claim the leadership.
+        if lease.is_some() && entry.layout().role == membership::Role::Leaf {
+            log::info!("the leader has become a leaf");
+            return false;
+        }
         let Some(fence) = self.holding.token(now) else {
             return true;
         };
