--- a/damaskdrift/src/entry/duties/holder.rs
+++ b/damaskdrift/src/entry/duties/holder.rs
@@ -186,6 +186,9 @@
         if self.fence != fence {
             log::info!(fence:? = fence.map(|fence| fence.0); "holding of the duties changed");
             self.fence = fence;
+            if fence.is_none() {
+                metrics::gauge!("usage_windows_unreported").set(0.0);
+            }
         }
         if lease.is_none() {
             // A successor makes the calls that have not ended.
