Report windows that are not late before late ones

Cause: after a time without a holder up to 60 late windows would have delayed the reports that could still be made in time, and four windows that the cloud refuses for good would have kept all later ones from being reported.

Change: late windows come last, calls are limited by those in flight, and a refused call pauses for 20 s.

--- a/damaskdrift/src/entry/duties/holder.rs
+++ b/damaskdrift/src/entry/duties/holder.rs
@@ -26,8 +26,10 @@
 /// First and maximum pause before a call without an accepted response is repeated; it doubles in
 /// between.
 const RETRY_PAUSE: (Millis, Millis) = (Millis(300), Millis(2_000));
-/// Largest number of windows that are reported at the same time.
-const MAX_CONCURRENT_REPORTS: usize = 4;
+/// Pause before a call that was refused for another reason than its rate or token is repeated.
+const REFUSED_PAUSE: Millis = Millis(20_000);
+/// Number of concurrent calls from which no window is reported.
+const MAX_CONCURRENT_CALLS: usize = 4;
 /// Time for which an instance must have received reports before it settles a window without those of
 /// some instances. Other instances connect to a new one within this time.
 const LISTENING_TIME: Millis = Millis(2_500);
@@ -165,7 +167,7 @@
         if !self.write_due(entry, state, fence) {
             return false;
         }
-        self.call_due(entry, fence);
+        self.call_due(entry, state, fence);
         true
     }
 
@@ -270,14 +272,25 @@
         }
     }
 
-    /// Makes the calls that were not accepted yet: reports of windows, oldest first, then orders.
-    fn call_due(&mut self, entry: &Rc<state::Entry>, fence: id::FencingToken) {
-        let now = clock::now();
+    /// Makes the calls that were not accepted yet: reports of windows, then orders. Reports that are
+    /// already late wait for the others.
+    fn call_due(
+        &mut self,
+        entry: &Rc<state::Entry>,
+        state: &duties::State,
+        fence: id::FencingToken,
+    ) {
+        let (now, true_now) = (clock::now(), state.true_time());
         let record = entry.duties.record.borrow();
         metrics::gauge!("usage_windows_unreported").set(record.unacknowledged().count() as f64);
-        for settled in record.unacknowledged().take(MAX_CONCURRENT_REPORTS) {
+        let mut windows: Vec<_> = record.unacknowledged().collect();
+        windows.sort_by_key(|settled| {
+            let is_late = state.rules.is_some_and(|rules| rules.is_late(settled.window, true_now));
+            (is_late, settled.window)
+        });
+        for settled in windows {
             let subject = Subject::Usage(settled.window);
-            if !self.may_call(&subject, now) {
+            if self.calls.len() >= MAX_CONCURRENT_CALLS || !self.may_call(&subject, now) {
                 continue;
             }
             let counts = settled.counts.clone();
@@ -385,6 +398,9 @@
             }
             Ok(port::DutyReply::Refused(status)) => {
                 log::warn!(subject:?, fence:% = fence, status; "call of a duty refused");
+                if let Some(state) = self.call_states.get_mut(&subject) {
+                    state.pause = REFUSED_PAUSE;
+                }
             }
             Err(error) => {
                 log::warn!(subject:?, fence:% = fence, cause:% = error; "no response to a duty");
--- a/damaskdrift_core/src/duty/settlement.rs
+++ b/damaskdrift_core/src/duty/settlement.rs
@@ -67,6 +67,11 @@
         UnixMillis((window + 1).saturating_mul(self.window.0.max(1)))
     }
 
+    /// Returns whether the report of a window should have been made already.
+    pub fn is_late(&self, window: u64, now: UnixMillis) -> bool {
+        now.0 >= self.end_of(window).0.saturating_add(self.late.0)
+    }
+
     /// Returns the windows to settle now, oldest first.
     ///
     /// `complete_until` is the time up to which the counts of all instances are known. `may_miss`
