--- a/damaskdrift_core/tests/duty.rs
+++ b/damaskdrift_core/tests/duty.rs
@@ -266,14 +266,15 @@
                 node.ledger.settle(last, UnixMillis(now.0));
             }
             match &mut self.store.leader {
-                Some((leader, token, expires_at)) if *leader == index => {
-                    // A process that was restarted does not know its token.
-                    if node.lease.is_some_and(|(own, _)| own == *token) {
-                        *expires_at = now + LEASE;
-                        node.lease = Some((*token, now + LEASE));
-                    }
+                Some((leader, ..)) if *leader != index => node.holding.record_other(now),
+                Some((_, token, expires_at))
+                    if node.lease.is_some_and(|(own, _)| own == *token) =>
+                {
+                    *expires_at = now + LEASE;
+                    node.lease = Some((*token, now + LEASE));
                 }
-                Some(_) => node.holding.record_other(now),
+                // A process that was restarted does not know its token.
+                Some(_) => {}
                 None if self.relays.contains(&index) && rng.random_bool(0.3) => {
                     self.store.revision += 1;
                     let token = self.store.revision;
