Grow by a load that is known in part

Cause: while the reports of more than a fifth of the instances are missing, as after the loss of a failure domain, no order was made at all for up to 6 s.

Change: such a load may raise the count, since it is a lower bound, and never lowers it.

--- a/damaskdrift/src/entry/duties/scaling.rs
+++ b/damaskdrift/src/entry/duties/scaling.rs
@@ -16,7 +16,7 @@
 
 /// How often the load is observed.
 const OBSERVATION_INTERVAL: Millis = Millis(200);
-/// Part of the registered instances whose load must be known for a decision, in percent.
+/// Part of the registered instances whose load must be known for a lower count, in percent.
 const MIN_HEARD_PERCENT: usize = 80;
 
 /// Decides on the numbers of upstreams.
@@ -38,11 +38,7 @@
         }
         self.observed_at = now;
         let registered = entry.registered_instances().len();
-        if state.heard_instances() * 100 < registered * MIN_HEARD_PERCENT {
-            // The load of the others is not known, so it would look low.
-            self.scaler.forget_load();
-            return;
-        }
+        let is_partial = state.heard_instances() * 100 < registered * MIN_HEARD_PERCENT;
         let role = entry.layout().role;
         let waiting = state.waiting(entry, |reporter| peers::counts(reporter, role));
         let (mut loads, mut in_flight) = (Vec::new(), 0);
@@ -57,6 +53,7 @@
         }
         for (service, limits, mut load, domains) in loads {
             // Instances do not report which service a request waits for.
+            load.is_partial = is_partial;
             load.waiting = u64::from(waiting) * load.in_flight / in_flight.max(1);
             self.scaler.observe(service, limits, &load, domains, now);
         }
--- a/damaskdrift_core/src/duty/scaling.rs
+++ b/damaskdrift_core/src/duty/scaling.rs
@@ -101,6 +101,8 @@
     pub pending_prefill: u64,
     /// Requests that wait at instances for an upstream with room.
     pub waiting: u64,
+    /// Whether the load of many instances is missing. What is known still justifies growth.
+    pub is_partial: bool,
 }
 
 /// Load of a service at one time as the number of upstreams that it fully uses.
@@ -109,6 +111,7 @@
     at: Millis,
     used: f64,
     usable: f64,
+    is_partial: bool,
 }
 
 /// What was seen of one service.
@@ -172,13 +175,19 @@
         (count > 0.0).then(|| (used / count, usable / count))
     }
 
-    /// Returns the most used upstreams since a time, if the samples cover it.
+    /// Returns the most used upstreams since a time, if the samples cover it and are complete.
     fn most_since(&self, since: Millis) -> Option<f64> {
         if self.samples.front()?.at > since {
             return None;
         }
-        let recent = self.samples.iter().filter(|sample| sample.at >= since);
-        recent.map(|sample| sample.used).reduce(f64::max)
+        let mut most: f64 = 0.0;
+        for sample in self.samples.iter().filter(|sample| sample.at >= since) {
+            if sample.is_partial {
+                return None;
+            }
+            most = most.max(sample.used);
+        }
+        Some(most)
     }
 }
 
@@ -195,7 +204,12 @@
         let history = self.histories.entry(service.clone()).or_default();
         let keep = limits.low_load_time() + HIGH_LOAD_TIME;
         history.samples.retain(|sample| now.since(sample.at) < keep);
-        let sample = Sample { at: now, used: load.used(), usable: f64::from(load.usable) };
+        let sample = Sample {
+            at: now,
+            used: load.used(),
+            usable: f64::from(load.usable),
+            is_partial: load.is_partial,
+        };
         history.samples.push_back(sample);
         for (domain, state) in &domains {
             let counts = history.registered.entry(domain.clone()).or_default();
@@ -207,13 +221,6 @@
         history.domains = domains;
     }
 
-    /// Forgets the load, for example because reports of other instances were missing.
-    pub fn forget_load(&mut self) {
-        for history in self.histories.values_mut() {
-            history.samples.clear();
-        }
-    }
-
     /// Forgets a service, for example because a rollout starts upstreams beside the others.
     pub fn forget(&mut self, service: &id::Service) {
         self.histories.remove(service);
--- a/damaskdrift_core/tests/scaling.rs
+++ b/damaskdrift_core/tests/scaling.rs
@@ -23,6 +23,8 @@
     domains: BTreeMap<id::FailureDomain, DomainState>,
     /// Ordered upstreams that boot: when they serve, and the count from then on.
     boots: Vec<(Millis, id::FailureDomain, u32)>,
+    /// Whether the load of many instances is missing.
+    is_partial: bool,
     /// All orders with their time.
     orders: Vec<(Millis, ScaleOrder)>,
 }
@@ -37,6 +39,7 @@
             record: Record::default(),
             domains: (0..domains).map(|index| (domain(index), state)).collect(),
             boots: Vec::new(),
+            is_partial: false,
             orders: Vec::new(),
         }
     }
@@ -79,6 +82,7 @@
                 slots,
                 in_flight: requests.min(slots),
                 waiting: requests.saturating_sub(slots),
+                is_partial: self.is_partial,
                 ..ServiceLoad::default()
             };
             self.scaler.observe(&service, &LIMITS, &load, self.domains.clone(), now);
@@ -131,7 +135,12 @@
     let mut world = World::new(domains);
     world.run(Millis(15_000), |_| 40.0);
     assert!(world.orders.is_empty(), "{:?}", world.orders);
-    world.run(Millis(60_000), |_| 40.0);
+    // The load looks low because that of many instances is missing.
+    world.is_partial = true;
+    world.run(Millis(30_000), |_| 40.0);
+    assert!(world.orders.is_empty(), "{:?}", world.orders);
+    world.is_partial = false;
+    world.run(Millis(76_000), |_| 40.0);
     assert_eq!(world.counts(), vec![LIMITS.minimum; domains]);
 }
 
