--- a/damaskdrift_core/tests/duty.rs
+++ b/damaskdrift_core/tests/duty.rs
@@ -154,6 +154,8 @@
     now: Millis,
     nodes: Vec<Node>,
     relays: Vec<usize>,
+    /// Until when each failure domain's reports to and from others are lost.
+    parted_until: [Millis; DOMAINS],
     store: Store,
     truth: BTreeMap<u64, WindowCounts>,
     pending: Vec<Call>,
@@ -192,6 +194,7 @@
             now,
             nodes,
             relays: (0..relays).collect(),
+            parted_until: [Millis(0); DOMAINS],
             store: Store::default(),
             truth: BTreeMap::new(),
             pending: Vec::new(),
@@ -228,6 +231,10 @@
             let (own, process) = (node.ledger.own_counts(), node.process.clone());
             let from_domain = node.domain.clone();
             for to in self.relays.clone() {
+                let parted = self.parted_until[from % DOMAINS].max(self.parted_until[to % DOMAINS]);
+                if from % DOMAINS != to % DOMAINS && self.now < parted {
+                    continue;
+                }
                 let is_near = is_mesh || self.nodes[to].domain == from_domain;
                 if from == to || !self.is_up(from) || !self.is_up(to) || rng.random_bool(0.05) {
                     continue;
@@ -392,8 +399,8 @@
 }
 
 /// Guards against two different reports of a window, windows without a report, counts outside the
-/// tolerance, and holders out of turn, with kills, freezes, a store out of reach, and lost or late
-/// responses between any two steps.
+/// tolerance, and holders out of turn, with kills, freezes, partitions, a store out of reach, and lost or
+/// late responses between any two steps.
 #[rstest]
 fn every_window_is_reported_once_and_truly(
     #[values(1, 8, 82, 295, 1_000)] instances: usize,
@@ -419,13 +426,14 @@
         let leader = leader.filter(|_| rng.random_bool(0.3));
         let index = leader.unwrap_or_else(|| rng.random_range(0..instances));
         let until = fleet.now + Millis(rng.random_range(500..5_000));
-        match rng.random_range(0..3) {
+        match rng.random_range(0..4) {
             0 => {
                 *killed_at.entry(RULES.window_at(UnixMillis(fleet.now.0))).or_default() += 1;
                 fleet.nodes[index] = Node::new(index, fleet.now, &mut rng);
                 fleet.nodes[index].frozen_until = fleet.now + Millis(1_000);
             }
             1 => fleet.nodes[index].frozen_until = until,
+            2 => fleet.parted_until[index % DOMAINS] = until,
             _ => fleet.nodes[index].cut_until = until,
         }
     }
