--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 mod client_stream;
 mod clock;
+mod duties;
 mod event_stream;
 mod follower;
 pub mod forward;
@@ -30,4 +31,4 @@
 mod weights;
 
 pub use run::{Error, run};
-pub use settings::Settings;
+pub use settings::{Duties, Settings};
--- a/damaskdrift/src/entry/platform_store.rs
+++ b/damaskdrift/src/entry/platform_store.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::quarantine_record;
@@ -314,6 +315,7 @@
     rollouts: BTreeSet<id::Service>,
     has_leader: bool,
     has_quarantine: bool,
+    has_duty_record: bool,
 }
 
 /// Applies items of the store and returns what they list.
@@ -394,6 +396,10 @@
                 listed.has_leader = leader.is_some();
                 *entry.leader.borrow_mut() = leader;
             }
+            port::Change::DutyRecord(change) => {
+                listed.has_duty_record = change.revision > 0;
+                duties::set_record(entry, change);
+            }
             // A removal is always readable.
             port::Change::Unreadable { .. } => {}
         }
@@ -420,6 +426,9 @@
     if !listed.has_quarantine {
         quarantine_record::apply(entry, None);
     }
+    if !listed.has_duty_record {
+        duties::record_absent(entry);
+    }
     if !listed.has_leader {
         *entry.leader.borrow_mut() = None;
     }
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -22,6 +22,7 @@
 
 use crate::entry::client;
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::follower;
 use crate::entry::port;
 use crate::entry::quarantine;
@@ -174,6 +175,8 @@
     pub relayed_changes: mpsc::Sender<message::Changes>,
     /// Log lines on refused requests, by code.
     pub refusal_lines: RefCell<BTreeMap<code::Code, limits::Lines>>,
+    /// Duties that the leader performs for the fleet.
+    pub duties: duties::Duties,
     instances: RefCell<BTreeMap<id::Instance, Member>>,
     layout: RefCell<Rc<membership::Layout>>,
     registered_instances: RefCell<Rc<[id::Instance]>>,
@@ -189,6 +192,7 @@
         let (relayed_changes, queue) = mpsc::channel(RELAYED_CHANGES_QUEUE);
         let entry = Rc::new(Self {
             retry_windows: RefCell::new(retry::RetryWindows::new(settings.repeats, clock::now())),
+            duties: duties::Duties::new(&settings),
             settings,
             port,
             client,
@@ -317,6 +321,13 @@
         self.registered_instances.borrow().clone()
     }
 
+    /// Returns the registered instances with their failure domains.
+    pub fn registered_domains(&self) -> Vec<(id::Instance, id::FailureDomain)> {
+        let instances = self.instances.borrow();
+        let registered = instances.iter().filter(|(_, member)| member.expires_at.is_none());
+        registered.map(|(id, member)| (id.clone(), member.registration.domain.clone())).collect()
+    }
+
     /// Returns the registration of an instance, unless it has ended.
     pub fn registration(&self, instance: &id::Instance) -> Option<port::Registration> {
         let instances = self.instances.borrow();
--- a/damaskdrift/src/entry/weights.rs
+++ b/damaskdrift/src/entry/weights.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 
 use crate::entry::clock;
+use crate::entry::duties;
 use crate::entry::leadership;
 use crate::entry::notices;
 use crate::entry::port;
@@ -25,6 +26,9 @@
 /// Minimum interval between report reads of an upstream with an order in progress; reports lag by
 /// a few hundred milliseconds and each read is a call to the upstream.
 const REPORT_INTERVAL: Millis = Millis(150);
+/// Time after a release of leadership in favour of another instance in which this one does not claim
+/// it. Others claim it within 1.2 s.
+const RELEASE_PAUSE: Millis = Millis(2_400);
 /// Time for which the time of a request for a report is remembered.
 const REPORT_TIME_RETENTION: Millis = Millis(10_000);
 /// How long requests avoid an upstream that was ordered to load weights, unless it reports the new
@@ -92,6 +96,7 @@
     let mut term = Term::default();
     let mut driver = rollouts::Driver::default();
     let mut quarantine = quarantine_record::Driver::default();
+    let mut duties = duties::Driver::new(&entry.settings);
     let mut next_claim = clock::now();
     while !entry.stopping.is_cancelled() {
         let now = clock::now();
@@ -120,6 +125,12 @@
                 next_claim = clock::now() + entry.settings.turn;
             }
         }
+        if !duties.tick(&entry, lease.as_ref()) {
+            log::warn!("releasing leadership for another holder of the duties");
+            term = Term::default();
+            leadership::release(&entry, lease.take()).await;
+            next_claim = clock::now() + RELEASE_PAUSE;
+        }
         tokio::select! {
             () = tokio::time::sleep(TICK) => {}
             () = entry.stopping.cancelled() => {}
