Replace polling for room by one queue for each service

Cause: a prompt that found no upstream with room looked again every 20 to 40 ms in random order, so that urgent prompts got no more of the freed room than long ones, and 64 waiting requests of any kind closed the instance to all others.

Change: prompts wait in a queue ordered by rank, returning requests, fair share of workspaces and time left; a task wakes the first ones when room is freed, a report arrives or 20 ms pass, with bounded work. Requests that are not expected to start in time are refused at once with a Retry-After from the expected start. Requests without a prompt wait as before.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -16,12 +16,11 @@
 use damaskdrift_core::weights;
 use hyper::Response;
 use hyper::http::request;
-use rand::RngExt as _;
 use tokio::time::Instant;
 
+use crate::entry::admission;
 use crate::entry::clock;
 use crate::entry::forward;
-use crate::entry::notices;
 use crate::entry::port;
 use crate::entry::quarantine;
 use crate::entry::refusal;
@@ -32,22 +31,6 @@
 /// Minimum time before the deadline for another attempt.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// Range of the pause before a request that waits for room looks for it again, in milliseconds.
-/// Reports of other instances' load arrive about as often.
-const ROOM_CHECK_MS: std::ops::Range<u64> = 20..40;
-/// Addition to that pause for each waiting request, which bounds the time that an instance spends on
-/// looking to about a hundredth of a core.
-const ROOM_CHECK_PER_WAITING: Duration = Duration::from_millis(4);
-/// Number of waiting requests beyond which the next one is refused at once. With more, an instance
-/// looks for room for each less than three times a second, and most would wait in vain.
-const MAX_WAITING: u32 = 64;
-/// Longest wait for an upstream to load the target version of its weights: a load takes about a
-/// second with the requests that end before it.
-const MAX_LOAD_WAIT: Duration = Duration::from_millis(1_500);
-/// Multiple of an idle engine's time to the first chunk that must be left of a request's time for
-/// it to wait further.
-const SERVICE_TIME_MARGIN: u32 = 2;
-
 /// A request that the instance is forwarding.
 pub struct Job<'a> {
     /// State that the tasks of the instance share.
@@ -82,24 +65,10 @@
     pub has_retry: bool,
     /// Ids of the segments of the prompt that other requests may have as well.
     pub shared_segments: Rc<[u64]>,
-}
-
-/// A request that counts as waiting for room until this value is dropped, also if its caller leaves.
-struct WaitingRequest<'a> {
-    entry: &'a Rc<state::Entry>,
-}
-
-impl<'a> WaitingRequest<'a> {
-    fn new(entry: &'a Rc<state::Entry>) -> Self {
-        entry.waiting.set(entry.waiting.get() + 1);
-        Self { entry }
-    }
-}
-
-impl Drop for WaitingRequest<'_> {
-    fn drop(&mut self) {
-        self.entry.waiting.set(self.entry.waiting.get().saturating_sub(1));
-    }
+    /// The request's place in the queue of its service, while it waits there.
+    pub ticket: Option<admission::Ticket>,
+    /// Permission to look for an upstream ahead of the other waiting requests.
+    pub turn: Option<admission::Turn>,
 }
 
 /// The outcome of one attempt.
@@ -126,6 +95,9 @@
     /// Returns the instance's own error response.
     pub async fn run(mut self) -> Result<Response<relay::Body>, refusal::Refusal> {
         let result = self.run_attempts().await;
+        if let Err(refusal) = &result {
+            self.record_refusal(refusal);
+        }
         // A later attempt that did not run proves nothing about an earlier one.
         let may_have_run = self.may_have_run;
         result.map_err(|refusal| if may_have_run { refusal.into_unknown() } else { refusal })
@@ -151,14 +123,19 @@
             if !self.ends_before_exit() {
                 return Err(self.refused_by_shutdown());
             }
+            if self.must_queue() {
+                self.wait_for_turn(&last_reason).await?;
+                continue;
+            }
             let (upstream, pending_prefill) = match self.choose_upstream() {
                 Ok(choice) => choice,
                 Err(unavailable) if self.may_wait(unavailable) => {
-                    self.wait_for_room().await;
+                    self.wait_for_room(&last_reason).await?;
                     continue;
                 }
                 Err(unavailable) => return Err(self.unavailable(unavailable, &last_reason)),
             };
+            self.leave_queue();
             match self.send(&upstream, pending_prefill).await {
                 Outcome::Forwarded(response) => return Ok(response),
                 Outcome::Refused(refusal) => return Err(refusal),
@@ -215,65 +192,6 @@
         refusal::Refusal::not_run(code::Code::Draining, reason).with_retry_after(Duration::ZERO)
     }
 
-    /// Waits until the next look for an upstream with room.
-    async fn wait_for_room(&mut self) {
-        let waiting = WaitingRequest::new(self.entry);
-        let pause_ms = self.entry.rng.borrow_mut().random_range(ROOM_CHECK_MS);
-        let by_waiting = ROOM_CHECK_PER_WAITING * self.entry.waiting.get();
-        let pause = Duration::from_millis(pause_ms) + by_waiting;
-        tokio::time::sleep(pause).await;
-        drop(waiting);
-        self.waited += pause;
-    }
-
-    /// Returns whether the request may wait for an upstream with room: as long as it could still be
-    /// answered before its deadline and before the caller leaves, unless too many wait already or
-    /// the instance stops. It does not wait for weights that take longer than usual to load, nor for
-    /// a pause that ends too late.
-    fn may_wait(&self, unavailable: balance::Unavailable) -> bool {
-        let pause = match unavailable {
-            balance::Unavailable::NoUpstream => return false,
-            balance::Unavailable::OutdatedWeights if self.waited >= MAX_LOAD_WAIT => return false,
-            balance::Unavailable::OutdatedWeights | balance::Unavailable::AtLimit => Duration::ZERO,
-            balance::Unavailable::Paused(until) => until.since(clock::now()).into(),
-        };
-        if self.entry.waiting.get() >= MAX_WAITING || self.entry.stopping.is_cancelled() {
-            return false;
-        }
-        let tokens = self.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-        let needed = Duration::from(balance::expected_first_chunk(tokens)) * SERVICE_TIME_MARGIN;
-        let patience = self.route.caller_patience.map(Duration::from);
-        let patience_left = patience.map(|p| p.saturating_sub(self.started.elapsed()));
-        let needed = pause + needed;
-        self.time_left().into_iter().chain(patience_left).all(|left| left > needed)
-    }
-
-    fn unavailable(&self, unavailable: balance::Unavailable, last: &str) -> refusal::Refusal {
-        let (code, reason) = match unavailable {
-            balance::Unavailable::NoUpstream => (code::Code::NoUpstream, "no upstream takes work"),
-            balance::Unavailable::AtLimit => (code::Code::Overloaded, "upstreams are at limits"),
-            balance::Unavailable::OutdatedWeights => {
-                (code::Code::Overloaded, "upstreams have outdated weights")
-            }
-            balance::Unavailable::Paused(_) => {
-                (code::Code::Overloaded, "all upstreams have asked for a pause")
-            }
-        };
-        let waited_ms = self.waited.as_millis();
-        let reason = format!("{reason}; waited {waited_ms} ms for room; {last}");
-        self.with_retry_after(refusal::Refusal::not_run(code, reason))
-    }
-
-    /// Adds a retry delay to a refusal. It ends after the first of the service's upstreams may get
-    /// requests again, if all of them have asked for a pause.
-    fn with_retry_after(&self, refusal: refusal::Refusal) -> refusal::Refusal {
-        let mut refusal = forward::with_retry_after(self.entry, refusal);
-        if let Some(left) = notices::pause_left(self.entry, &self.service.id) {
-            refusal.retry_after = refusal.retry_after.map(|after| after + left);
-        }
-        refusal
-    }
-
     /// Takes a retry for the next attempt from this instance's share of the retry limit, if one is
     /// left and none was taken before.
     fn take_retry(&mut self) -> bool {
--- a/damaskdrift/src/entry/forward/mod.rs
+++ b/damaskdrift/src/entry/forward/mod.rs
@@ -3,6 +3,7 @@
 mod headers;
 mod job;
 mod send;
+mod waiting;
 
 pub use headers::hop_by_hop;
 
@@ -123,6 +124,8 @@
         expected_weights: 0,
         has_retry: false,
         shared_segments: shared_segments.unwrap_or_default(),
+        ticket: None,
+        turn: None,
     };
     job.run().await
 }
--- a/damaskdrift/src/entry/mod.rs
+++ b/damaskdrift/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! All tasks run on one thread. A [`port::Port`] implements the platform's protocols.
 
+mod admission;
 mod cache_stores;
 pub mod client;
 mod clock;
--- a/damaskdrift/src/entry/peers/report.rs
+++ b/damaskdrift/src/entry/peers/report.rs
@@ -139,6 +139,7 @@
         loads.push((id::Upstream::new(&upstream), load));
     }
     entry.upstreams.borrow_mut().set_report(reporter, loads, now);
+    entry.admission.wake();
 }
 
 /// Returns whether a report counts for an instance with this role.
--- a/damaskdrift/src/entry/run.rs
+++ b/damaskdrift/src/entry/run.rs
@@ -13,6 +13,7 @@
 use tokio::task;
 use tokio_util::sync::CancellationToken;
 
+use crate::entry::admission;
 use crate::entry::cache_stores;
 use crate::entry::client;
 use crate::entry::clock;
@@ -76,6 +77,7 @@
     task::spawn_local(platform_store::run(entry.clone(), changes));
     task::spawn_local(cache_stores::run(entry.clone()));
     task::spawn_local(observe::run(entry.clone()));
+    task::spawn_local(admission::run(entry.clone()));
     task::spawn_local(rollouts::run(entry.clone()));
     let registration = task::spawn_local(leadership::register(entry.clone()));
     let weights = task::spawn_local(weights::run(entry.clone()));
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, broadcast, mpsc};
 use tokio_util::sync::CancellationToken;
 
+use crate::entry::admission;
 use crate::entry::client;
 use crate::entry::clock;
 use crate::entry::follower;
@@ -170,6 +171,8 @@
     instances: RefCell<BTreeMap<id::Instance, Member>>,
     layout: RefCell<Rc<membership::Layout>>,
     registered_instances: RefCell<Rc<[id::Instance]>>,
+    /// Prompts that wait for an upstream with room.
+    pub admission: admission::Admission,
 }
 
 impl Entry {
@@ -210,6 +213,7 @@
             instances: RefCell::default(),
             layout: RefCell::default(),
             registered_instances: RefCell::new(Rc::from([])),
+            admission: admission::Admission::default(),
         });
         (entry, queue)
     }
--- a/damaskdrift_core/src/lib.rs
+++ b/damaskdrift_core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision logic of damaskdrift, without I/O, clocks or global state.
 
 pub mod admission;
+pub mod admission_queue;
 pub mod balance;
 pub mod block;
 pub mod code;
