Pace the claims of room by the upstreams that have some

Cause: between two reports all instances see the same room.

Change: where less than a quarter of the upstreams have room, or requests waited until a moment ago, new prompts join the queue, and an instance claims room by chance, in proportion to the upstreams that have some.

--- a/damaskdrift/src/entry/admission.rs
+++ b/damaskdrift/src/entry/admission.rs
@@ -8,9 +8,7 @@
 
 use damaskdrift_core::admission_queue;
 use damaskdrift_core::admission_queue::{Position, Queue, Refusal, Request, WakeUp};
-use damaskdrift_core::balance;
 use damaskdrift_core::id;
-use damaskdrift_core::routing;
 use damaskdrift_core::time::Millis;
 use rand::RngExt as _;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -19,9 +17,10 @@
 use crate::entry::clock;
 use crate::entry::state;
 
-/// Interval between sweeps for requests that cannot start in time, and between counts of the
-/// upstreams that respond.
+/// Interval between sweeps for requests that cannot start in time.
 const SWEEP_INTERVAL: Millis = Millis(100);
+/// Shortest interval between counts of the upstreams with room; reports arrive about as often.
+const COUNT_INTERVAL: Millis = Millis(50);
 /// Time for which requests have to wait, or not, before it is logged.
 const LOGGED_AFTER: Millis = Millis(1_000);
 
@@ -39,7 +38,7 @@
 struct ServiceQueue {
     queue: Queue,
     signals: HashMap<Position, mpsc::UnboundedSender<Signal>>,
-    /// When the upstreams that respond were last counted.
+    /// When the upstreams with room were last counted.
     counted_at: Option<Millis>,
     overload: Overload,
 }
@@ -89,10 +88,26 @@
 }
 
 impl Admission {
-    /// Returns whether requests of a service wait.
-    pub fn is_waiting(&self, service: &id::Service) -> bool {
-        self.waiting.get() > 0
-            && self.queues.borrow().get(service).is_some_and(|queue| !queue.queue.is_empty())
+    /// Returns whether a new request of a service has to join its queue. `capacity` returns the
+    /// state of the upstreams.
+    pub fn is_overloaded(
+        &self,
+        service: &id::Service,
+        capacity: impl FnOnce() -> admission_queue::Capacity,
+    ) -> bool {
+        let now = clock::now();
+        let mut queues = self.queues.borrow_mut();
+        if !queues.contains_key(service) {
+            queues.insert(service.clone(), ServiceQueue::default());
+        }
+        let Some(queue) = queues.get_mut(service) else {
+            return false;
+        };
+        if queue.counted_at.is_none_or(|at| now.since(at) >= COUNT_INTERVAL) {
+            queue.counted_at = Some(now);
+            queue.queue.set_capacity(capacity());
+        }
+        queue.queue.is_overloaded(now)
     }
 
     /// Wakes the queues, if any request waits, because upstreams may have room.
@@ -102,9 +117,9 @@
         }
     }
 
-    /// Records that a request of this instance has freed room at an upstream of a service, after it
-    /// held its seat for this time if it has ended.
-    pub fn record_freed(&self, service: &id::Service, held: Option<Millis>) {
+    /// Records that a request of this instance to an upstream of a service has ended, after it held
+    /// its seat for this time.
+    pub fn record_freed(&self, service: &id::Service, held: Millis) {
         if let Some(queue) = self.queues.borrow_mut().get_mut(service) {
             queue.queue.record_freed(held);
         }
@@ -129,11 +144,9 @@
         service: &id::Service,
         req: &Request,
     ) -> Option<Duration> {
-        if !self.is_waiting(service) {
-            return None;
-        }
         let queues = self.queues.borrow();
-        let wait = queues.get(service)?.queue.expected_wait(req, clock::now());
+        let queue = queues.get(service).filter(|queue| !queue.queue.is_empty())?;
+        let wait = queue.queue.expected_wait(req, clock::now());
         Some(Queue::retry_after(wait, &mut *entry.rng.borrow_mut()).into())
     }
 }
@@ -159,15 +172,13 @@
     /// Returns the refusal of a request that is not expected to start in time.
     pub fn new(
         entry: &Rc<state::Entry>,
-        service: &routing::Service,
+        service: &id::Service,
         request: Request,
     ) -> Result<Self, Refusal> {
-        let now = clock::now();
         let rank = request.rank;
         let mut queues = entry.admission.queues.borrow_mut();
-        let queue = queues.entry(service.id.clone()).or_default();
-        queue.count_upstreams(entry, service, now);
-        let (position, displaced) = match queue.queue.enter(request, now) {
+        let queue = queues.entry(service.clone()).or_default();
+        let (position, displaced) = match queue.queue.enter(request, clock::now()) {
             Ok(entered) => entered,
             Err(refusal) => {
                 queue.record_refusal(rank, refusal.reason);
@@ -185,7 +196,7 @@
         entry.waiting.set(entry.waiting.get() + 1);
         entry.admission.waiting.set(entry.admission.waiting.get() + 1);
         entry.admission.wake();
-        let service = service.id.clone();
+        let service = service.clone();
         Ok(Self { entry: entry.clone(), service, position, signals, is_admitted: false })
     }
 
@@ -227,27 +238,6 @@
 }
 
 impl ServiceQueue {
-    /// Updates the number of upstreams that respond.
-    fn count_upstreams(&mut self, entry: &state::Entry, service: &routing::Service, now: Millis) {
-        if self.counted_at.is_some_and(|at| now.since(at) < SWEEP_INTERVAL) {
-            return;
-        }
-        self.counted_at = Some(now);
-        let out_of_service = entry.out_of_service.borrow();
-        let upstreams = entry.upstreams.borrow();
-        let usable = upstreams
-            .iter()
-            .filter(|u| u.record.service == service.id && !u.record.is_draining)
-            .filter(|u| !out_of_service.contains(&u.record.domain))
-            .filter(|u| u.response(now) == balance::Response::Usual);
-        self.queue.set_capacity(admission_queue::Capacity {
-            upstreams: u32::try_from(usable.count()).unwrap_or(u32::MAX),
-            slots: service.engine.map_or(0, |engine| engine.slots),
-            kv_cache_tokens: service.engine.map_or(0, |engine| engine.capacity_tokens),
-            instances: entry.instance_count(),
-        });
-    }
-
     /// Refuses a waiting request.
     fn refuse(&mut self, position: Position, refusal: Refusal) {
         if let Some(signals) = self.signals.remove(&position) {
@@ -375,15 +365,11 @@
 
 /// Refuses the requests that do not start in time, and updates the metrics.
 fn sweep(entry: &state::Entry, services: &[id::Service], now: Millis) {
-    let table = entry.table.borrow().clone();
     let mut queues = entry.admission.queues.borrow_mut();
     for service in services {
         let Some(queue) = queues.get_mut(service) else {
             continue;
         };
-        if let Some(service) = table.as_ref().and_then(|table| table.service(service)) {
-            queue.count_upstreams(entry, service, now);
-        }
         queue.sweep(now);
         queue.log(service, now);
         for (rank, length) in queue.queue.len_by_rank().iter().enumerate() {
--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -251,6 +251,22 @@
     }
 
     fn choose_upstream(&self) -> Result<(id::Upstream, u64), balance::Unavailable> {
+        self.with_requirements(|requirements, cx| {
+            let upstreams = self.entry.upstreams.borrow();
+            rollouts::choose(self.entry, &self.service.id, |software| {
+                let requirements = balance::Requirements { software, ..*requirements };
+                let rng = &mut *self.entry.rng.borrow_mut();
+                upstreams.choose(&requirements, cx, clock::now(), rng)
+            })
+        })
+    }
+
+    /// Calls a function with what the request requires of its upstream, and the context of the
+    /// choice.
+    pub fn with_requirements<T>(
+        &self,
+        call: impl FnOnce(&balance::Requirements<'_>, &balance::Context<'_>) -> T,
+    ) -> T {
         let now = clock::now();
         let prompt = self.head.prompt.as_ref();
         let no_targets = weights::Targets::default();
@@ -292,10 +308,6 @@
             registered: &registered,
             is_load_delayed: self.entry.layout().role != membership::Role::Mesh,
         };
-        let upstreams = self.entry.upstreams.borrow();
-        rollouts::choose(self.entry, &self.service.id, |software| {
-            let requirements = balance::Requirements { software, ..requirements };
-            upstreams.choose(&requirements, &cx, now, &mut *self.entry.rng.borrow_mut())
-        })
+        call(&requirements, &cx)
     }
 }
--- a/damaskdrift/src/entry/forward/waiting.rs
+++ b/damaskdrift/src/entry/forward/waiting.rs
@@ -66,7 +66,27 @@
         self.head.prompt.is_some()
             && self.turn.is_none()
             && !self.entry.stopping.is_cancelled()
-            && (self.ticket.is_some() || self.entry.admission.is_waiting(&self.service.id))
+            && self.is_overloaded()
+    }
+
+    /// Returns whether other prompts wait or upstreams with room are scarce, or this one waits.
+    fn is_overloaded(&self) -> bool {
+        let capacity = || {
+            self.with_requirements(|requirements, cx| {
+                let upstreams = self.entry.upstreams.borrow();
+                let (upstreams, with_room) = upstreams.count_room(requirements, cx, clock::now());
+                let engine = self.service.engine;
+                admission_queue::Capacity {
+                    upstreams,
+                    with_room,
+                    slots: engine.map_or(0, |engine| engine.slots),
+                    kv_cache_tokens: engine.map_or(0, |engine| engine.capacity_tokens),
+                    instances: cx.instance_count,
+                }
+            })
+        };
+        let is_overloaded = self.entry.admission.is_overloaded(&self.service.id, capacity);
+        self.ticket.is_some() || is_overloaded
     }
 
     /// Waits in the queue until the request may look for an upstream, or until it has to check
@@ -129,7 +149,7 @@
         let mut request = self.queued_request();
         request.is_returning =
             self.attempts > 0 || self.entry.admission.take_return(self.return_hash());
-        match admission::Ticket::new(self.entry, self.service, request) {
+        match admission::Ticket::new(self.entry, &self.service.id, request) {
             Ok(ticket) => {
                 self.ticket = Some(ticket);
                 Ok(())
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -160,7 +160,7 @@
         let mut upstreams = self.entry.upstreams.borrow_mut();
         if let Some(upstream) = upstreams.get_mut(&self.upstream) {
             upstream.finish_prefill(&mut self.request);
-            self.entry.admission.record_freed(&upstream.record.service, None);
+            self.entry.admission.wake();
         }
         if let Some(expected) = self.expected_first_chunk {
             upstreams.observe_delay(&self.upstream, delay.since(expected), now);
@@ -191,7 +191,7 @@
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
             upstream.end_request(&mut self.request);
             let held = clock::now().since(self.started_at);
-            self.entry.admission.record_freed(&upstream.record.service, Some(held));
+            self.entry.admission.record_freed(&upstream.record.service, held);
         }
     }
 }
--- a/damaskdrift_core/src/admission_queue/forecast.rs
+++ b/damaskdrift_core/src/admission_queue/forecast.rs
@@ -17,6 +17,10 @@
 /// Part of a KV cache that is given to requests.
 const KV_CACHE_FRACTION: f64 = 0.9;
 
+/// Room is scarce if less than one upstream in this number has some. The instances of a fleet claim
+/// it before they hear of each other's claims.
+const SCARCE_FRACTION: u32 = 4;
+
 /// What requests take of the upstreams.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Work {
@@ -33,6 +37,8 @@
 pub struct Capacity {
     /// Number of upstreams that respond.
     pub upstreams: u32,
+    /// Number of these that seem to have room for a request of the queue.
+    pub with_room: u32,
     /// Requests that an upstream runs at a time; 0 if that is unknown.
     pub slots: u32,
     /// Size of an upstream's KV cache in tokens; 0 if that is unknown.
@@ -67,6 +73,22 @@
     pub fn assumed_rate(&self) -> f64 {
         f64::from(self.upstreams.max(1)) / f64::from(self.instances.max(1))
     }
+
+    /// Returns the share of upstreams that seem to have room.
+    pub fn room_share(&self) -> f64 {
+        f64::from(self.with_room) / f64::from(self.upstreams.max(1))
+    }
+
+    /// Returns whether most upstreams seem to have room.
+    pub fn is_plentiful(&self) -> bool {
+        self.with_room * 2 > self.upstreams
+    }
+
+    /// Returns whether so few upstreams seem to have room that the instances would crowd there if
+    /// each sent its requests at once.
+    pub fn is_scarce(&self) -> bool {
+        self.instances > 1 && self.with_room * SCARCE_FRACTION < self.upstreams
+    }
 }
 
 impl Default for Forecast {
--- a/damaskdrift_core/src/admission_queue/queue.rs
+++ b/damaskdrift_core/src/admission_queue/queue.rs
@@ -16,6 +16,9 @@
 /// Part by which an accepted request's expected start may lie beyond its useful start before it is
 /// refused after all. The estimate varies with single large requests.
 const SWEEP_TOLERANCE: f64 = 0.5;
+/// Time after the last request that had to wait, during which new ones still join the queue. It covers
+/// a few reports.
+const OVERLOAD_MEMORY: Millis = Millis(500);
 /// Shortest delay after which a refused caller is asked to return, before jitter.
 const MIN_RETRY_AFTER: Millis = Millis(250);
 /// Longest delay after which a refused caller is asked to return, before jitter. The load is not
@@ -59,6 +62,8 @@
     shares: BTreeMap<u8, share::WorkspaceShares>,
     credits: share::RankCredits,
     forecast: forecast::Forecast,
+    /// When a request last had to wait.
+    waited_at: Option<Millis>,
     freed: wake::Freed,
 }
 
@@ -73,6 +78,17 @@
         self.entries.is_empty()
     }
 
+    /// Returns whether a new request has to join the queue: if others wait or did so until a moment
+    /// ago, or if few upstreams have room.
+    ///
+    /// Between two reports the instances of a fleet see the same room. Under overload each of them
+    /// would find it with an empty queue in turn, and together they would send far more than fits.
+    pub fn is_overloaded(&self, now: Millis) -> bool {
+        !self.is_empty()
+            || self.forecast.capacity().is_scarce()
+            || self.waited_at.is_some_and(|at| now.since(at) < OVERLOAD_MEMORY)
+    }
+
     /// Returns the number of waiting requests of each rank.
     pub fn len_by_rank(&self) -> [usize; order::LOWEST_RANK as usize + 1] {
         let mut lengths = [0; order::LOWEST_RANK as usize + 1];
@@ -87,13 +103,10 @@
         self.forecast.set_capacity(capacity);
     }
 
-    /// Records that a request of this instance has freed room, after it held its seat for this time
-    /// if it has ended.
-    pub fn record_freed(&mut self, held: Option<Millis>) {
+    /// Records that a request of this instance has ended, after it held its seat for this time.
+    pub fn record_freed(&mut self, held: Millis) {
         self.freed.record();
-        if let Some(held) = held {
-            self.forecast.record_held(held);
-        }
+        self.forecast.record_held(held);
     }
 
     /// Adds a request, and returns its position with that of a less urgent one that has to leave the
@@ -171,6 +184,7 @@
     pub fn record_blocked(&mut self, position: Position, wake_up: &mut wake::WakeUp, now: Millis) {
         if let Some(entry) = self.entries.iter_mut().find(|entry| entry.number == position.0) {
             entry.blocked_since.get_or_insert(now);
+            self.waited_at = Some(now);
             wake_up.record_blocked(entry, now);
         }
     }
@@ -188,7 +202,9 @@
         let entry = self.first(|entry| wake_up.may_try(entry), now)?;
         let (number, engine_time) = (entry.number, entry.request.engine_time);
         let capacity = self.forecast.capacity();
-        wake_up.claims(engine_time, &mut self.freed, &capacity, rng).then_some(Position(number))
+        wake_up
+            .claims(engine_time, &mut self.freed, &capacity, now, rng)
+            .then_some(Position(number))
     }
 
     /// Returns the requests that have to be refused, because they would not start in time, with
--- a/damaskdrift_core/src/admission_queue/wake.rs
+++ b/damaskdrift_core/src/admission_queue/wake.rs
@@ -17,9 +17,14 @@
 const MAX_FAILED: u32 = 2;
 /// Requests that end their wait without a choice, after which a wake-up ends.
 const MAX_GONE: u32 = 32;
-/// Engine time that all instances together try to claim in a wake-up interval, as a multiple of what
-/// the upstreams work off in it. Not all instances have waiting requests, and not all tries succeed.
-const CLAIM_FACTOR: f64 = 4.0;
+/// Engine time that all instances together try to claim, as a multiple of what the upstreams with
+/// room work off meanwhile. Not all instances have waiting requests, and not all tries succeed.
+const CLAIM_FACTOR: f64 = 2.0;
+/// The same while most upstreams have room, which are then far from their limits.
+const PLENTIFUL_CLAIM_FACTOR: f64 = 8.0;
+/// Chance to claim room at once after a request of this instance has ended, as a multiple of the
+/// share of upstreams with room. What all instances free together goes to those alone.
+const FREED_CLAIM_FACTOR: f64 = 4.0;
 /// Events of freed room that are kept for later wake-ups.
 const MAX_FREED: u32 = 8;
 /// Time for which requests of less urgent ranks may pass one that has no room. Longer, they would
@@ -30,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct Freed {
     events: u32,
+    /// When chance last decided about room that others may claim as well.
+    drawn_at: Millis,
 }
 
 /// One wake-up of a queue.
@@ -73,25 +80,32 @@
             && self.blocked_rank.is_none_or(|rank| entry.request.rank <= rank)
     }
 
-    /// Decides whether a request is tried now: always in room that this instance has freed, else by
-    /// chance, so that the instances do not all claim the room that their reports show.
+    /// Decides whether a request is tried now: after a request of this instance has ended if enough
+    /// upstreams have room, else by chance, so that the instances do not all claim the room that
+    /// their reports show.
     pub fn claims(
         &mut self,
         engine_time: Millis,
         freed: &mut Freed,
         capacity: &forecast::Capacity,
+        now: Millis,
         rng: &mut impl Rng,
     ) -> bool {
-        if freed.events > 0 {
-            freed.events -= 1;
-            return true;
-        }
         if capacity.instances <= 1 {
             return true;
         }
-        let worked_off = capacity.assumed_rate() * WAKE_INTERVAL.0 as f64;
-        let chance = CLAIM_FACTOR * worked_off / engine_time.0.max(1) as f64;
-        self.has_passed = !rng.random_bool(chance.min(1.0));
+        if freed.events > 0 {
+            freed.events -= 1;
+            if rng.random_bool((FREED_CLAIM_FACTOR * capacity.room_share()).min(1.0)) {
+                return true;
+            }
+        }
+        let elapsed = now.since(freed.drawn_at).min(WAKE_INTERVAL);
+        freed.drawn_at = now;
+        let worked_off = f64::from(capacity.with_room.max(1)) * elapsed.0 as f64;
+        let all = f64::from(capacity.instances) * engine_time.0.max(1) as f64;
+        let factor = if capacity.is_plentiful() { PLENTIFUL_CLAIM_FACTOR } else { CLAIM_FACTOR };
+        self.has_passed = !rng.random_bool((factor * worked_off / all).min(1.0));
         !self.has_passed
     }
 
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -134,6 +134,24 @@
 }
 
 impl upstream::Upstreams {
+    /// Returns how many upstreams may serve a request, and how many of these have room for it.
+    pub fn count_room(&self, req: &Requirements<'_>, cx: &Context<'_>, now: Millis) -> (u32, u32) {
+        let (mut usable, mut with_room) = (0, 0);
+        for upstream in self.iter() {
+            let is_usable = upstream.record.service == req.service.id
+                && !upstream.record.is_draining
+                && !cx.out_of_service.contains(&upstream.record.domain)
+                && !upstream.health.is_ejected(now)
+                && upstream.response(now) == contact::Response::Usual
+                && self.notices.may_send(&upstream.record, now);
+            if is_usable {
+                usable += 1;
+                with_room += u32::from(has_room(upstream, req, cx, now));
+            }
+        }
+        (usable, with_room)
+    }
+
     /// Returns the upstream with the lowest cost for a request, and the prompt tokens to be
     /// prefilled there.
     ///
