--- a/damaskdrift/src/entry/admission.rs
+++ b/damaskdrift/src/entry/admission.rs
@@ -285,9 +285,10 @@
         *overload = Overload::default();
     }
 
-    /// Returns whether the queue needs the timer, for its requests or for the log.
+    /// Returns whether the queue needs the timer, for its requests, or for the log and the metrics
+    /// after the last one has left.
     fn is_active(&self) -> bool {
-        !self.queue.is_empty() || self.overload.is_logged
+        !self.queue.is_empty() || self.overload.is_waiting || self.overload.is_logged
     }
 }
 
--- a/damaskdrift_core/src/admission_queue/forecast.rs
+++ b/damaskdrift_core/src/admission_queue/forecast.rs
@@ -79,11 +79,6 @@
         f64::from(self.with_room) / f64::from(self.upstreams.max(1))
     }
 
-    /// Returns whether most upstreams seem to have room.
-    pub fn is_plentiful(&self) -> bool {
-        self.with_room * 2 > self.upstreams
-    }
-
     /// Returns whether so few upstreams seem to have room that the instances would crowd there if
     /// each sent its requests at once.
     pub fn is_scarce(&self) -> bool {
--- a/damaskdrift_core/src/admission_queue/wake.rs
+++ b/damaskdrift_core/src/admission_queue/wake.rs
@@ -19,12 +19,13 @@
 const MAX_GONE: u32 = 32;
 /// Engine time that all instances together try to claim, as a multiple of what the upstreams with
 /// room work off meanwhile. Not all instances have waiting requests, and not all tries succeed.
-const CLAIM_FACTOR: f64 = 2.0;
-/// The same while most upstreams have room, which are then far from their limits.
+const CLAIM_FACTOR: f64 = 0.75;
+/// Addition to it while all upstreams have room, which are then far from their limits. It grows with
+/// the square of the share beyond half of them: a step at half let the fleet claim in bursts.
 const PLENTIFUL_CLAIM_FACTOR: f64 = 8.0;
 /// Chance to claim room at once after a request of this instance has ended, as a multiple of the
 /// share of upstreams with room. What all instances free together goes to those alone.
-const FREED_CLAIM_FACTOR: f64 = 4.0;
+const FREED_CLAIM_FACTOR: f64 = 1.0;
 /// Events of freed room that are kept for later wake-ups.
 const MAX_FREED: u32 = 8;
 /// Time for which requests of less urgent ranks may pass one that has no room. Longer, they would
@@ -104,7 +105,8 @@
         freed.drawn_at = now;
         let worked_off = f64::from(capacity.with_room.max(1)) * elapsed.0 as f64;
         let all = f64::from(capacity.instances) * engine_time.0.max(1) as f64;
-        let factor = if capacity.is_plentiful() { PLENTIFUL_CLAIM_FACTOR } else { CLAIM_FACTOR };
+        let beyond_half = (2.0 * capacity.room_share() - 1.0).max(0.0);
+        let factor = CLAIM_FACTOR + PLENTIFUL_CLAIM_FACTOR * beyond_half * beyond_half;
         self.has_passed = !rng.random_bool((factor * worked_off / all).min(1.0));
         !self.has_passed
     }
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -144,9 +144,11 @@
                 && !upstream.health.is_ejected(now)
                 && upstream.response(now) == contact::Response::Usual
                 && self.notices.may_send(&upstream.record, now);
-            if is_usable {
+            let has_room = is_usable && has_room(upstream, req, cx, now);
+            // The limit of a cold upstream is no sign of load.
+            if is_usable && (has_room || !upstream.is_cold(now)) {
                 usable += 1;
-                with_room += u32::from(has_room(upstream, req, cx, now));
+                with_room += u32::from(has_room);
             }
         }
         (usable, with_room)
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -92,6 +92,13 @@
         now: Millis,
         rng: &mut ChaCha8Rng,
     ) -> Result<(id::Upstream, u64), balance::Unavailable> {
+        self.with(|req, cx| upstreams.choose(req, cx, now, rng))
+    }
+
+    fn with<T>(
+        &self,
+        call: impl FnOnce(&balance::Requirements<'_>, &balance::Context<'_>) -> T,
+    ) -> T {
         let domain = id::FailureDomain::new("a");
         let req = balance::Requirements {
             service: &self.service,
@@ -112,7 +119,7 @@
             registered: &self.registered,
             is_load_delayed: false,
         };
-        upstreams.choose(&req, &cx, now, rng)
+        call(&req, &cx)
     }
 }
 
@@ -490,6 +497,29 @@
     assert_eq!(long.choose(&upstreams, NOW, &mut rng).map(|(chosen, _)| chosen), Ok(id));
 }
 
+/// Guards against room that is counted at upstreams which no request may go to, and against a cold
+/// start that counts as load.
+#[rstest]
+fn room_is_counted_at_usable_upstreams() {
+    let mut upstreams = fleet(5);
+    let full = balance::InFlightRequest { tokens: 60_000, pending_prefill: 0 };
+    upstreams.get_mut(&id::Upstream::new("u0")).unwrap().begin_request(&full, NOW);
+    upstreams.get_mut(&id::Upstream::new("u1")).unwrap().record.is_draining = true;
+    let scenario = Scenario { tokens: 17_000, ..Scenario::default() };
+    let count = |upstreams: &balance::Upstreams| {
+        scenario.with(|req, cx| upstreams.count_room(req, cx, NOW))
+    };
+    assert_eq!(count(&upstreams), (4, 3));
+    let started_at = Some(99);
+    let restarted = balance::Record { started_at, ..record("u2", 1) };
+    upstreams.install(restarted, Millis(3_000), NOW);
+    for _ in 0..24 {
+        let small = balance::InFlightRequest { tokens: 10, pending_prefill: 0 };
+        upstreams.get_mut(&id::Upstream::new("u2")).unwrap().begin_request(&small, NOW);
+    }
+    assert_eq!(count(&upstreams), (3, 2));
+}
+
 /// Guards against a prompt larger than the usable part of a KV cache that never finds room.
 #[rstest]
 fn idle_engine_takes_a_prompt_of_any_size() {
