Share out free places of engines, and time fetches by the links

A fetch from a cache store counted as 30 ms, where its links take 134 to 262 ms.

Change: at most four thirds of an engine's slots in flight; less urgent prompts only while half of the most urgent target latency of prefill is pending, and with a tenth of the KV cache left free; a share of scarce places for each instance (core balance::places) and a random engine among them; the queue's rank by workspace and route (core routing::rank); the time of a fetch from the configured links and the fetches in progress (core prefix_cache::transfer), which reports between instances include.

--- a/damaskdrift/src/entry/forward/job.rs
+++ b/damaskdrift/src/entry/forward/job.rs
@@ -16,6 +16,7 @@
 use damaskdrift_core::weights;
 use hyper::Response;
 use hyper::http::request;
+use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
 use crate::entry::admission;
@@ -251,13 +252,45 @@
         }
     }
 
+    /// Returns how many prompt tokens an engine may still have to prefill when the request is sent
+    /// there; `None` for the most urgent requests, which engines run before those in their queue.
+    fn prefill_limit(&self) -> Option<u64> {
+        let table = self.entry.table.borrow();
+        let urgent = table.as_ref()?.most_urgent(&self.service.id)?;
+        let is_most_urgent = self.route.priority <= urgent.priority;
+        (!is_most_urgent).then(|| balance::prefill_limit(urgent.target_latency))
+    }
+
+    /// Returns the upstream that the request may use, in view of the instances that choose at the
+    /// same time.
+    fn take_place(
+        &self,
+        choice: balance::Choice,
+        now: Millis,
+        rng: &mut ChaCha8Rng,
+    ) -> Result<(id::Upstream, u64), balance::Unavailable> {
+        let is_load_delayed = self.entry.layout().role != membership::Role::Mesh;
+        if self.service.engine.is_none() || self.head.prompt.is_none() || !is_load_delayed {
+            return Ok(choice.best);
+        }
+        let instances = self.entry.instance_count();
+        let mut shares = self.entry.place_shares.borrow_mut();
+        match shares.take(self.rank(), choice.free_places, instances, now, rng) {
+            balance::Grant::Best => Ok(choice.best),
+            balance::Grant::Any => Ok(choice.sampled),
+            balance::Grant::None => Err(balance::Unavailable::AtLimit),
+        }
+    }
+
     fn choose_upstream(&self) -> Result<(id::Upstream, u64), balance::Unavailable> {
         self.with_requirements(|requirements, cx| {
             let upstreams = self.entry.upstreams.borrow();
             rollouts::choose(self.entry, &self.service.id, |software| {
                 let requirements = balance::Requirements { software, ..*requirements };
                 let rng = &mut *self.entry.rng.borrow_mut();
-                upstreams.choose(&requirements, cx, clock::now(), rng)
+                let now = clock::now();
+                let choice = upstreams.candidates(&requirements, cx, now, rng)?;
+                self.take_place(choice, now, rng)
             })
         })
     }
@@ -284,8 +317,11 @@
                 && self.entry.may_fetch_segments()
             {
                 let salt = prefix_cache::salt(&prompt.model, version, cache_scope);
-                fetch_time =
-                    self.entry.cache_stores.borrow().fetch_time(&salt, &prompt.segments, now);
+                let upstreams = self.entry.upstreams.borrow();
+                let pending = |store: &id::Upstream| upstreams.fetching(store);
+                let engine = self.service.engine.as_ref();
+                let stores = self.entry.cache_stores.borrow();
+                fetch_time = stores.fetch_time(&salt, &prompt.segments, engine, pending, now);
             }
         }
         let requirements = balance::Requirements {
@@ -295,9 +331,10 @@
             cache_scope,
             tokens: prompt.map_or(0, |prompt| prompt.tokens),
             segments: &segments,
-            fetch_time,
+            fetch_time: fetch_time.as_ref(),
             tried: &self.tried,
             software: rollout::Selection::Any,
+            prefill_limit: self.prefill_limit(),
         };
         let out_of_service = self.entry.out_of_service.borrow();
         let registered = self.entry.registered_instances();
--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -101,7 +101,7 @@
             return job::Outcome::NotSent("the software version may get no request".to_owned());
         }
         let now = clock::now();
-        let (req, plan_summary) = self.encode(id, model_version);
+        let (req, plan_summary, fetches) = self.encode(id, model_version);
         if self.attempts == 0 {
             self.entry.retry_windows.borrow_mut().record_first_attempt(&self.service.id, now);
         }
@@ -118,8 +118,9 @@
         let expected = self.head.prompt.as_ref();
         let expected = expected.map(|_| balance::expected_first_chunk(pending_prefill));
         let ticket = rollouts::Ticket::new(self.entry, id, &self.route.name, expected);
-        let mut guard =
-            relay::RequestGuard::new(self.entry, id, in_flight, expected).with_ticket(ticket);
+        let mut guard = relay::RequestGuard::new(self.entry, id, in_flight, expected)
+            .with_ticket(ticket)
+            .with_fetches(fetches);
         if !self.shared_segments.is_empty() {
             let segments = &self.shared_segments;
             let exposure = quarantine::Exposure::new(self.entry, id, &self.head.id, segments);
@@ -317,21 +318,32 @@
         Some(prefix_cache::salt(&prompt.model, version, scope))
     }
 
-    fn encode(&self, id: &id::Upstream, version: u64) -> (Request<Full<Bytes>>, &'static str) {
+    fn encode(
+        &self,
+        id: &id::Upstream,
+        version: u64,
+    ) -> (Request<Full<Bytes>>, &'static str, Vec<(id::Upstream, u64)>) {
         let now = clock::now();
         let salt = self.salt(version);
         let mut plan = prefix_cache::Plan::default();
+        let mut fetches = Vec::new();
         if let (Some(prompt), Some(salt)) = (&self.head.prompt, &salt) {
-            let may_fetch = self.entry.may_fetch_segments();
+            let may_fetch = |store: &id::Upstream, record: &routing::CacheStore, segment| {
+                self.may_fetch(id, store, record, segment)
+            };
             let mut stores = self.entry.cache_stores.borrow_mut();
             plan = stores.plan(salt, &prompt.segments, may_fetch, now);
+            fetches = stores.fetches(&plan, &prompt.segments);
             if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(id) {
                 for segment in &prompt.segments {
                     upstream.record_segment(salt, segment.id, now);
                 }
             }
         }
+        // Not the rank: an engine whose memory is full preempts a long prompt for each more urgent
+        // request, and then prefills it again. The queue of the instance orders them instead.
         let workspace_priority = self.workspace.and_then(|workspace| workspace.priority);
+        let shared_tokens = self.head.prompt.as_ref().map_or(0, port::Prompt::shared_tokens);
         let engine = salt.as_deref().map(|salt| port::EngineHeaders {
             priority: workspace_priority.unwrap_or(self.route.priority).min(LOWEST_PRIORITY),
             salt,
@@ -340,7 +352,7 @@
             fetch_deadline_ms: self
                 .entry
                 .upstream_now()
-                .map(|now| now + prefix_cache::FETCH_TIMEOUT.0),
+                .map(|now| now + prefix_cache::fetch_timeout(shared_tokens).0),
         });
         let time_left = self.time_left();
         let forward = port::ForwardHeaders {
@@ -353,7 +365,30 @@
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = self.parts.uri.clone();
         *req.headers_mut() = self.entry.port.forward_headers(&self.parts.headers, &forward);
-        (req, plan.summary())
+        (req, plan.summary(), fetches)
+    }
+
+    /// Returns whether an engine fetches a segment from a store: if that is expected to take less
+    /// time than to prefill it, with some preference for the fetch, which leaves the engine free.
+    fn may_fetch(
+        &self,
+        id: &id::Upstream,
+        store: &id::Upstream,
+        record: &routing::CacheStore,
+        segment: prefix_cache::Segment,
+    ) -> bool {
+        if !self.entry.may_fetch_segments() {
+            return false;
+        }
+        let upstreams = self.entry.upstreams.borrow();
+        let Some(upstream) = upstreams.get(id) else {
+            return false;
+        };
+        let is_remote = upstream.record.domain != record.domain;
+        let pending = upstreams.fetching(store);
+        let engine = self.service.engine.as_ref();
+        let fetch_ms = prefix_cache::fetch_ms(record, engine, segment.tokens, pending, is_remote);
+        fetch_ms <= prefix_cache::max_fetch_ms(segment.tokens)
     }
 
     fn observe(&self, id: &id::Upstream, observation: balance::Observation) {
--- a/damaskdrift/src/entry/forward/waiting.rs
+++ b/damaskdrift/src/entry/forward/waiting.rs
@@ -74,7 +74,9 @@
         let capacity = || {
             self.with_requirements(|requirements, cx| {
                 let upstreams = self.entry.upstreams.borrow();
-                let (upstreams, with_room) = upstreams.count_room(requirements, cx, clock::now());
+                // The limit is for less urgent requests; the places that they leave are no room.
+                let requirements = balance::Requirements { prefill_limit: None, ..*requirements };
+                let (upstreams, with_room) = upstreams.count_room(&requirements, cx, clock::now());
                 let engine = self.service.engine;
                 admission_queue::Capacity {
                     upstreams,
@@ -185,10 +187,11 @@
         }
     }
 
-    /// Returns the urgency of the request, which the workspace decides before the route.
-    fn rank(&self) -> u8 {
+    /// Returns the urgency of the request by the newest configuration.
+    pub fn rank(&self) -> u8 {
         let by_workspace = self.workspace.and_then(|workspace| workspace.priority);
-        by_workspace.unwrap_or(self.route.priority).min(admission_queue::LOWEST_RANK)
+        let table = self.entry.table.borrow();
+        table.as_ref().map_or(0, |table| table.ranks.rank(by_workspace, self.route.priority))
     }
 
     /// Returns a hash of the request's workspace and id, by which its return is recognised.
--- a/damaskdrift/src/entry/relay.rs
+++ b/damaskdrift/src/entry/relay.rs
@@ -40,6 +40,8 @@
     exposure: Option<quarantine::Exposure>,
     /// The request as evidence on a rollout, if one is running.
     ticket: Option<rollouts::Ticket>,
+    /// Cache stores that the request fetches segments from, and the tokens.
+    fetches: Vec<(id::Upstream, u64)>,
     /// Workspace for which the request counts as begun when its first chunk arrives.
     uncounted: Option<id::Workspace>,
 }
@@ -111,6 +113,7 @@
             expected_first_chunk,
             exposure: None,
             ticket: None,
+            fetches: Vec::new(),
             uncounted: None,
         }
     }
@@ -126,6 +129,24 @@
         self
     }
 
+    /// Counts the fetches of the request from cache stores until its first chunk arrives.
+    pub fn with_fetches(mut self, fetches: Vec<(id::Upstream, u64)>) -> Self {
+        let mut upstreams = self.entry.upstreams.borrow_mut();
+        for (store, tokens) in &fetches {
+            upstreams.begin_fetch(store, *tokens);
+        }
+        drop(upstreams);
+        self.fetches = fetches;
+        self
+    }
+
+    fn end_fetches(&mut self) {
+        let mut upstreams = self.entry.upstreams.borrow_mut();
+        for (store, tokens) in self.fetches.drain(..) {
+            upstreams.end_fetch(&store, tokens);
+        }
+    }
+
     /// Sets the request as evidence on a rollout.
     pub fn with_ticket(mut self, ticket: Option<rollouts::Ticket>) -> Self {
         self.ticket = ticket;
@@ -167,6 +188,7 @@
         if self.request.pending_prefill >= NOTIFY_PREFILL_TOKENS {
             self.entry.report_due.notify_one();
         }
+        self.end_fetches();
         let delay = now.since(self.started_at);
         metrics::histogram!("first_piece_seconds").record(delay.0 as f64 / 1_000.0);
         let mut upstreams = self.entry.upstreams.borrow_mut();
@@ -199,6 +221,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        self.end_fetches();
         self.entry.in_flight.set(self.entry.in_flight.get().saturating_sub(1));
         if let Some(upstream) = self.entry.upstreams.borrow_mut().get_mut(&self.upstream) {
             upstream.end_request(&mut self.request);
--- a/damaskdrift/src/entry/state.rs
+++ b/damaskdrift/src/entry/state.rs
@@ -174,6 +174,8 @@
     pub follower: follower::Follower,
     /// Changes received from relays, in order.
     pub relayed_changes: mpsc::Sender<message::Changes>,
+    /// This instance's shares of the free places of busy engines.
+    pub place_shares: RefCell<balance::PlaceShares>,
     /// Log lines on refused requests, by code.
     pub refusal_lines: RefCell<BTreeMap<code::Code, limits::Lines>>,
     /// Duties that the leader performs for the fleet.
@@ -214,6 +216,7 @@
             requests: Cell::new(0),
             in_flight: Cell::new(0),
             waiting: Cell::new(0),
+            place_shares: RefCell::default(),
             report_due: Notify::new(),
             relay_tx: broadcast::Sender::new(RELAY_QUEUE_FRAMES),
             observed_weights: RefCell::default(),
--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -20,6 +20,8 @@
 /// Assumed prefill rate of an engine. Engines of the intended size prefill 50 to 100 tokens per
 /// millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 60.0;
+/// Share of its target latency that a request spends behind others at an engine.
+const QUEUE_SHARE_OF_TARGET: f64 = 0.5;
 /// Time of an engine's first step and of the network round trip.
 const FIRST_STEP: Millis = Millis(20);
 /// Delay that each request in flight adds to a new one, because they share the engine's steps.
@@ -42,6 +44,9 @@
 /// Fraction of an engine's KV cache that requests of all instances may hold. The rest covers
 /// requests that other instances have sent and not yet reported.
 const KV_CACHE_FRACTION: f64 = 0.9;
+/// Part of that fraction which less urgent requests leave to the most urgent ones, which otherwise
+/// preempt them. A preempted prompt is prefilled again.
+const URGENT_KV_CACHE_FRACTION: f64 = 0.1;
 /// Cost of recomputing a prompt token that another engine has prefilled, in addition to the prefill
 /// time, because the work delays the requests behind it.
 const RECOMPUTE_COST_MS_PER_TOKEN: f64 = 0.1;
@@ -74,11 +79,14 @@
     /// Ids of the shared segments of the prompt with their sizes in tokens.
     pub segments: &'a [(u64, u64)],
     /// Time to fetch all shared segments from cache stores, or `None` if stores do not hold them.
-    pub fetch_time: Option<Millis>,
+    pub fetch_time: Option<&'a prefix_cache::FetchTime>,
     /// Upstreams to which this request has already been sent.
     pub tried: &'a [id::Upstream],
     /// Upstreams that may serve the request, by the version of their software.
     pub software: rollout::Selection<'a>,
+    /// Largest number of prompt tokens that an engine may still have to prefill when the request is
+    /// sent.
+    pub prefill_limit: Option<u64>,
 }
 
 /// The reason why no upstream can take a request.
@@ -94,6 +102,17 @@
     Paused(Millis),
 }
 
+/// The upstreams that a request may use, each with the prompt tokens to be prefilled there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The one with the lowest cost.
+    pub best: (id::Upstream, u64),
+    /// One at random, with a probability in proportion to its free places.
+    pub sampled: (id::Upstream, u64),
+    /// Number of requests like this one that all upstreams together can still take.
+    pub free_places: f64,
+}
+
 /// Context of the choice besides the upstreams.
 #[derive(Debug)]
 pub struct Context<'a> {
@@ -167,6 +186,21 @@
         now: Millis,
         rng: &mut impl Rng,
     ) -> Result<(id::Upstream, u64), Unavailable> {
+        self.candidates(req, cx, now, rng).map(|choice| choice.best)
+    }
+
+    /// Returns the upstreams that a request may use.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no upstream can take the request.
+    pub fn candidates(
+        &self,
+        req: &Requirements<'_>,
+        cx: &Context<'_>,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) -> Result<Choice, Unavailable> {
         let candidates: Vec<_> = self
             .iter()
             .filter(|u| u.record.service == req.service.id)
@@ -191,6 +225,7 @@
             rng.random_bool((PROBING_INSTANCES / f64::from(cx.instance_count.max(1))).min(1.0));
         let spread = spread_ms(&candidates, req, cx);
         let mut best: Option<(f64, &upstream::Upstream, u64)> = None;
+        let (mut places, mut sampled) = (0.0, None);
         let mut unavailable = match (admitted.is_limited, admitted.paused_until) {
             (true, _) => Unavailable::AtLimit,
             (false, Some(until)) => Unavailable::Paused(until),
@@ -226,14 +261,25 @@
                 noise += spread * gumbel(rng);
             }
             let hint = self.notices.hint_cost_ms(&upstream.record, now);
+            let free = free_places(upstream, req);
+            places += free;
+            if places > 0.0 && rng.random_bool((free / places).clamp(0.0, 1.0)) {
+                sampled = Some((cost, upstream, prefill));
+            }
             let cost = cost + FAILURE_COST_MS * excess + hint + noise;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, upstream, prefill));
             }
         }
-        match best {
-            Some((_, upstream, prefill)) => Ok((upstream.record.id.clone(), prefill)),
-            None => Err(unavailable),
+        let target = |found: Option<(f64, &upstream::Upstream, u64)>| {
+            found.map(|(_, upstream, prefill)| (upstream.record.id.clone(), prefill))
+        };
+        match (target(best), target(sampled)) {
+            (Some(best), sampled) => {
+                let sampled = sampled.unwrap_or_else(|| best.clone());
+                Ok(Choice { best, sampled, free_places: places })
+            }
+            (None, _) => Err(unavailable),
         }
     }
 }
@@ -244,6 +290,15 @@
     Millis(FIRST_STEP.0 + (prefill as f64 / PREFILL_TOKENS_PER_MS) as u64)
 }
 
+/// Returns how many prompt tokens an engine may still have to prefill when a request with this
+/// target latency is sent there.
+///
+/// Beyond it the request waits at the instance, from which it can still go to another engine.
+pub fn prefill_limit(target_latency: Millis) -> u64 {
+    let time_ms = target_latency.0 as f64 * QUEUE_SHARE_OF_TARGET;
+    (time_ms * PREFILL_TOKENS_PER_MS) as u64
+}
+
 /// Returns the scale of the random part of the cost that keeps instances with the same delayed view
 /// from all choosing the upstream that was least loaded.
 ///
@@ -319,13 +374,39 @@
     };
     let load = upstream.load();
     let prefill = expected_first_chunk(load.pending_prefill + req.tokens);
-    let fetch = req.fetch_time.unwrap_or(Millis(0));
+    let fetch = req.fetch_time.map_or(Millis(0), |time| time.to(&upstream.record.domain));
     let rounds = u64::from(load.in_flight / upstream.record.slots.max(1));
     let begins_by =
         now + Millis(OVERDUE_FACTOR * (prefill + fetch).0) + Millis(SLOT_TIME.0 * rounds);
     if begins_by < usable_until { Ok(Some(version)) } else { Err(OutdatedWeights) }
 }
 
+/// Returns the number of requests that an engine runs and queues at most. A few queued ones keep its
+/// places in use until the next ones arrive.
+fn max_in_flight(upstream: &upstream::Upstream) -> u32 {
+    upstream.record.slots + upstream.record.slots / 3
+}
+
+/// Returns the fraction of an engine's KV cache that a request may fill.
+fn memory_fraction(req: &Requirements<'_>) -> f64 {
+    match req.prefill_limit {
+        Some(_) => KV_CACHE_FRACTION - URGENT_KV_CACHE_FRACTION,
+        None => KV_CACHE_FRACTION,
+    }
+}
+
+/// Returns how many requests like this one an engine can still take.
+fn free_places(upstream: &upstream::Upstream, req: &Requirements<'_>) -> f64 {
+    let load = upstream.load();
+    let places = max_in_flight(upstream).saturating_sub(load.in_flight);
+    let Some(engine) = req.service.engine else {
+        return f64::from(places);
+    };
+    let capacity = engine.capacity_tokens as f64 * memory_fraction(req);
+    let by_memory = (capacity - load.tokens as f64) / req.tokens.max(1) as f64;
+    f64::from(places).min(by_memory.max(1.0))
+}
+
 fn has_room(
     upstream: &upstream::Upstream,
     req: &Requirements<'_>,
@@ -344,10 +425,16 @@
     let load = upstream.load();
     if let Some(engine) = req.service.engine
         && load.tokens > 0
-        && (load.tokens + req.tokens) as f64 > engine.capacity_tokens as f64 * KV_CACHE_FRACTION
+        && (load.tokens + req.tokens) as f64 > engine.capacity_tokens as f64 * memory_fraction(req)
     {
         return false;
     }
+    if req.service.engine.is_some() && load.in_flight >= max_in_flight(upstream) {
+        return false;
+    }
+    if req.prefill_limit.is_some_and(|limit| load.pending_prefill > limit) {
+        return false;
+    }
     // Counting one more instance leaves room for a restarted instance whose old connections are
     // still open.
     let connections = (req.service.connections / (instances + 1)).max(1);
@@ -394,7 +481,7 @@
         }
     }
     let shared_ms = match req.fetch_time {
-        Some(fetch_time) => fetch_time.0 as f64 * missing / shared.max(1) as f64,
+        Some(time) => time.to(&upstream.record.domain).0 as f64 * missing / shared.max(1) as f64,
         None => missing * (1.0 / PREFILL_TOKENS_PER_MS + RECOMPUTE_COST_MS_PER_TOKEN),
     };
     let prefill = if req.fetch_time.is_some() { unshared } else { unshared + missing as u64 };
--- a/damaskdrift_core/src/balance/upstream.rs
+++ b/damaskdrift_core/src/balance/upstream.rs
@@ -131,6 +131,8 @@
     all: BTreeMap<id::Upstream, Upstream>,
     reports: HashMap<Reporter, Report>,
     baseline_delays: HashMap<id::Service, health::BaselineDelay>,
+    /// Tokens of fetches in progress by cache store: of this instance, and of the others.
+    fetches: BTreeMap<id::Upstream, (Load, Load)>,
 }
 
 impl Upstream {
@@ -308,6 +310,26 @@
         }
     }
 
+    /// Records that a request fetches `tokens` from a cache store.
+    pub fn begin_fetch(&mut self, store: &id::Upstream, tokens: u64) {
+        let (own, _) = self.fetches.entry(store.clone()).or_default();
+        own.in_flight += 1;
+        own.tokens += tokens;
+    }
+
+    /// Records that a fetch from a cache store has ended.
+    pub fn end_fetch(&mut self, store: &id::Upstream, tokens: u64) {
+        if let Some((own, _)) = self.fetches.get_mut(store) {
+            own.in_flight = own.in_flight.saturating_sub(1);
+            own.tokens = own.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Returns the tokens that requests of all instances are fetching from a cache store.
+    pub fn fetching(&self, store: &id::Upstream) -> u64 {
+        self.fetches.get(store).map_or(0, |(own, others)| own.tokens + others.tokens)
+    }
+
     /// Stores a report of other instances' load, replacing the reporter's previous one.
     pub fn set_report(
         &mut self,
@@ -331,10 +353,15 @@
         for upstream in self.all.values_mut() {
             upstream.others = Load::default();
         }
+        self.fetches.retain(|_, (own, _)| own.in_flight > 0);
+        for (_, others) in self.fetches.values_mut() {
+            *others = Load::default();
+        }
         for (_, loads) in self.reports.values() {
             for (id, load) in loads {
-                if let Some(upstream) = self.all.get_mut(id) {
-                    upstream.others += *load;
+                match self.all.get_mut(id) {
+                    Some(upstream) => upstream.others += *load,
+                    None => self.fetches.entry(id.clone()).or_default().1 += *load,
                 }
             }
         }
@@ -358,6 +385,11 @@
                 sums.insert(id, upstream.own);
             }
         }
+        for (store, (own, _)) in &self.fetches {
+            if own.in_flight > 0 {
+                sums.insert(store, *own);
+            }
+        }
         for (reporter, (_, loads)) in &self.reports {
             if !includes(reporter) {
                 continue;
--- a/damaskdrift_core/src/prefix_cache/mod.rs
+++ b/damaskdrift_core/src/prefix_cache/mod.rs
@@ -4,8 +4,10 @@
 mod plan;
 mod salt;
 mod scope;
+mod transfer;
 
 pub use contents::{CONTENTS_TTL, Contents, Event, Page, RelayOutcome};
-pub use plan::{CacheStores, FETCH_TIMEOUT, Plan, Segment, Step};
+pub use plan::{CacheStores, Plan, Segment, Step};
 pub use salt::{Salt, parse_salt, salt};
 pub use scope::{IsolatedSet, Scope, Scopes};
+pub use transfer::{FetchTime, fetch_ms, fetch_timeout, max_fetch_ms};
--- a/damaskdrift_core/src/prefix_cache/plan.rs
+++ b/damaskdrift_core/src/prefix_cache/plan.rs
@@ -7,18 +7,12 @@
 use xxhash_rust::xxh3;
 
 use crate::id;
-use crate::prefix_cache::{contents, salt, scope};
+use crate::prefix_cache::{contents, salt, scope, transfer};
 use crate::routing;
 use crate::time::Millis;
 
 /// Size below which a segment is not cached, because it is prefilled faster than fetched.
 const MIN_SEGMENT_TOKENS: u64 = 1_000;
-/// Expected time of a fetch apart from its transfer.
-const FETCH_OVERHEAD: Millis = Millis(30);
-
-/// Time after which the result of a fetch is discarded.
-pub const FETCH_TIMEOUT: Millis = Millis(2_000);
-
 /// A segment of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Segment {
@@ -133,39 +127,66 @@
 
     /// Returns the expected time to fetch the shared segments, or `None` if none of them is large
     /// enough to be cached or stores do not hold all that are.
-    pub fn fetch_time(&self, salt: &str, segments: &[Segment], now: Millis) -> Option<Millis> {
+    ///
+    /// `pending` returns the tokens that a store has to send for fetches in progress.
+    pub fn fetch_time(
+        &self,
+        salt: &str,
+        segments: &[Segment],
+        engine: Option<&routing::Engine>,
+        pending: impl Fn(&id::Upstream) -> u64,
+        now: Millis,
+    ) -> Option<transfer::FetchTime> {
+        let mut time = transfer::FetchTime::default();
         let mut has_cacheable = false;
         for segment in shared(segments) {
             if segment.tokens < MIN_SEGMENT_TOKENS {
                 continue;
             }
             has_cacheable = true;
-            self.ranked(segment.id).into_iter().find(|id| self.holds(id, salt, *segment, now))?;
+            let ranked = self.ranked(segment.id);
+            let id = ranked.iter().find(|id| self.holds(id, salt, *segment, now))?;
+            time.add(&self.all[id].record, engine, segment.tokens, pending(id));
         }
-        has_cacheable.then_some(FETCH_OVERHEAD)
+        has_cacheable.then_some(time)
     }
 
     /// Plans the steps of a prompt that runs under `salt`, and records the saves among them.
     ///
-    /// Without `may_fetch`, segments that stores hold are prefilled.
+    /// Segments that stores hold are prefilled where `may_fetch` excludes a fetch from the store.
     pub fn plan(
         &mut self,
         salt: &Arc<str>,
         segments: &[Segment],
-        may_fetch: bool,
+        may_fetch: impl Fn(&id::Upstream, &routing::CacheStore, Segment) -> bool,
         now: Millis,
     ) -> Plan {
         let mut steps = Vec::with_capacity(segments.len());
         for (index, segment) in segments.iter().enumerate() {
             // The last segment is not shared with other requests.
             let is_cacheable = index + 1 < segments.len() && segment.tokens >= MIN_SEGMENT_TOKENS;
-            let step = if is_cacheable { self.step(salt, *segment, now) } else { Step::Prefill };
-            let is_refused_fetch = matches!(step, Step::Fetch(_)) && !may_fetch;
-            steps.push(if is_refused_fetch { Step::Prefill } else { step });
+            let step = match is_cacheable {
+                true => self.step(salt, *segment, &may_fetch, now),
+                false => Step::Prefill,
+            };
+            steps.push(step);
         }
         Plan { steps }
     }
 
+    /// Returns the stores from which a plan fetches, with the tokens of each fetch.
+    pub fn fetches(&self, plan: &Plan, segments: &[Segment]) -> Vec<(id::Upstream, u64)> {
+        let mut fetches = Vec::new();
+        for (step, segment) in plan.steps.iter().zip(segments) {
+            let Step::Fetch(address) = step else {
+                continue;
+            };
+            let store = self.all.iter().find(|(_, store)| store.record.address == *address);
+            fetches.extend(store.map(|(id, _)| (id.clone(), segment.tokens)));
+        }
+        fetches
+    }
+
     /// Returns the stores in the order of preference for a segment: rendezvous hashing weighted by
     /// capacity, so that all instances agree without communication and adding or removing a store
     /// moves few segments.
@@ -183,10 +204,20 @@
 
     /// Plans to fetch a segment from the first store that holds it, else to save it to the first
     /// with room.
-    fn step(&mut self, salt: &Arc<str>, segment: Segment, now: Millis) -> Step {
+    fn step(
+        &mut self,
+        salt: &Arc<str>,
+        segment: Segment,
+        may_fetch: impl Fn(&id::Upstream, &routing::CacheStore, Segment) -> bool,
+        now: Millis,
+    ) -> Step {
         let ranked = self.ranked(segment.id);
         if let Some(id) = ranked.iter().find(|id| self.holds(id, salt, segment, now)) {
-            return Step::Fetch(self.all[id].record.address);
+            let record = &self.all[id].record;
+            return match may_fetch(id, record, segment) {
+                true => Step::Fetch(record.address),
+                false => Step::Prefill,
+            };
         }
         let is_saving = |store: &Store| store.contents.is_saving(salt, segment.id, now);
         if self.all.values().any(is_saving) {
--- a/damaskdrift_core/src/routing/document.rs
+++ b/damaskdrift_core/src/routing/document.rs
@@ -86,6 +86,10 @@
     pub slots: u32,
     /// Size of an engine's KV cache, in tokens.
     pub capacity_tokens: u64,
+    /// Size of the cached KV of one token, in bytes; 0 if unknown.
+    pub token_bytes: u64,
+    /// Speed of an engine's link for transfers of cached KV, in Mbit/s; 0 if unknown.
+    pub link_mbit_per_s: u64,
 }
 
 /// A service and the limits that apply to each of its upstreams.
@@ -112,6 +116,10 @@
     pub domain: id::FailureDomain,
     /// Capacity for cached KV, in tokens.
     pub capacity_tokens: u64,
+    /// Speed of the store's link, in Mbit/s; 0 if unknown.
+    pub link_mbit_per_s: u64,
+    /// Time before the first byte of each transfer.
+    pub first: Millis,
     /// Whether instances manage its eviction; the store then evicts nothing by itself.
     pub is_managed: bool,
 }
--- a/damaskdrift_core/src/routing/table.rs
+++ b/damaskdrift_core/src/routing/table.rs
@@ -6,7 +6,7 @@
 use crate::duty;
 use crate::id;
 use crate::prefix_cache;
-use crate::routing::document;
+use crate::routing::{document, rank};
 
 /// The result of looking up a request by host, path and key.
 #[derive(Debug)]
@@ -31,6 +31,10 @@
     pub cache_stores: Vec<document::CacheStore>,
     /// Scopes within which workspaces share cached segments.
     pub cache_scopes: prefix_cache::Scopes,
+    /// Ranks of requests by priority.
+    pub ranks: rank::Ranks,
+    /// The most urgent streaming route of each service.
+    most_urgent: HashMap<id::Service, Arc<document::Route>>,
     /// Services whose number of upstreams the leader orders, if that is its duty.
     pub scaling: BTreeMap<id::Service, duty::ScalingLimits>,
     /// Routes of each host, longest prefix first.
@@ -43,15 +47,25 @@
 impl Table {
     /// Creates an index of a document.
     pub fn new(document: document::Document) -> Self {
+        let workspaces = document.workspaces.as_deref().unwrap_or_default();
+        let ranks = rank::Ranks::new(&document.routes, workspaces);
+        let cache_scopes = prefix_cache::Scopes::new(workspaces);
         let mut hosts: HashMap<String, Vec<Arc<document::Route>>> = HashMap::new();
+        let mut most_urgent: HashMap<id::Service, Arc<document::Route>> = HashMap::new();
         for route in document.routes {
-            hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
+            let route = Arc::new(route);
+            hosts.entry(route.host.clone()).or_default().push(route.clone());
+            for target in route.targets.iter().filter(|_| route.is_stream) {
+                let known = most_urgent.entry(target.service.clone()).or_insert(route.clone());
+                let urgency = |route: &document::Route| (route.priority, route.target_latency);
+                if urgency(&route) < urgency(known) {
+                    *known = route.clone();
+                }
+            }
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let workspaces = document.workspaces.as_deref().unwrap_or_default();
-        let cache_scopes = prefix_cache::Scopes::new(workspaces);
         let keys = document.workspaces.map(|workspaces| {
             let mut keys = HashMap::new();
             for workspace in workspaces {
@@ -68,6 +82,8 @@
             limits: document.limits,
             cache_stores: document.cache_stores,
             cache_scopes,
+            ranks,
+            most_urgent,
             scaling: document.scaling,
             hosts,
             services,
@@ -92,6 +108,11 @@
         }
     }
 
+    /// Returns the streaming route with the most urgent priority of those to a service.
+    pub fn most_urgent(&self, service: &id::Service) -> Option<&Arc<document::Route>> {
+        self.most_urgent.get(service)
+    }
+
     /// Returns the service with this id, or `None` if it is not configured.
     pub fn service(&self, id: &id::Service) -> Option<&document::Service> {
         self.services.get(id)
--- a/damaskdrift_core/tests/balance.rs
+++ b/damaskdrift_core/tests/balance.rs
@@ -24,7 +24,12 @@
         id: id::Service::new("models"),
         connections: 180,
         cold_start: routing::ColdStart { duration: Millis(3_000), max_requests_per_s: 24.0 },
-        engine: has_engine.then_some(routing::Engine { slots: 16, capacity_tokens: 72_000 }),
+        engine: has_engine.then_some(routing::Engine {
+            slots: 16,
+            capacity_tokens: 72_000,
+            token_bytes: 0,
+            link_mbit_per_s: 0,
+        }),
     }
 }
 
@@ -100,6 +105,7 @@
         call: impl FnOnce(&balance::Requirements<'_>, &balance::Context<'_>) -> T,
     ) -> T {
         let domain = id::FailureDomain::new("a");
+        let fetch_time = self.fetch_time.map(prefix_cache::FetchTime::new);
         let req = balance::Requirements {
             service: &self.service,
             model: Some((&self.model, &self.targets)),
@@ -107,9 +113,10 @@
             cache_scope: prefix_cache::Scope::default(),
             tokens: self.tokens,
             segments: self.segments,
-            fetch_time: self.fetch_time,
+            fetch_time: fetch_time.as_ref(),
             tried: &self.tried,
             software: rollout::Selection::Any,
+            prefill_limit: None,
         };
         let cx = balance::Context {
             domain: &domain,
--- a/damaskdrift_core/tests/contact.rs
+++ b/damaskdrift_core/tests/contact.rs
@@ -56,7 +56,12 @@
         id: id::Service::new("models"),
         connections: 1_900,
         cold_start: routing::ColdStart { duration: Millis(0), max_requests_per_s: 0.0 },
-        engine: Some(routing::Engine { slots: 12, capacity_tokens: 72_000 }),
+        engine: Some(routing::Engine {
+            slots: 12,
+            capacity_tokens: 72_000,
+            token_bytes: 0,
+            link_mbit_per_s: 0,
+        }),
     };
     let (domain, own_id) = (id::FailureDomain::new("a"), id::Instance::new("i0"));
     let out_of_service = BTreeSet::new();
@@ -71,6 +76,7 @@
         fetch_time: None,
         tried: &[],
         software: rollout::Selection::Any,
+        prefill_limit: None,
     };
     let cx = balance::Context {
         domain: &domain,
--- a/damaskdrift_core/tests/delayed_load.rs
+++ b/damaskdrift_core/tests/delayed_load.rs
@@ -113,6 +113,7 @@
             fetch_time: None,
             tried: &[],
             software: rollout::Selection::Any,
+            prefill_limit: None,
         };
         let cx = balance::Context {
             domain: &domain,
--- a/damaskdrift_core/tests/notice.rs
+++ b/damaskdrift_core/tests/notice.rs
@@ -100,6 +100,7 @@
         model: None,
         old_weights_limit: Millis(0),
         software: rollout::Selection::Any,
+        prefill_limit: None,
         cache_scope: prefix_cache::Scope::default(),
         tokens: 0,
         segments: &[],
--- a/damaskdrift_core/tests/prefix_cache.rs
+++ b/damaskdrift_core/tests/prefix_cache.rs
@@ -21,6 +21,8 @@
         domain: id::FailureDomain::new("a"),
         capacity_tokens,
         is_managed: true,
+        link_mbit_per_s: 0,
+        first: Millis(0),
     }
 }
 
@@ -54,17 +56,20 @@
     let mut stores = stores(&[store(1, 100_000)]);
     let salt: Arc<str> = Arc::from("m|1|");
     let address = store(1, 0).address;
-    let first = stores.plan(&salt, &prompt(7), true, NOW);
+    let first = stores.plan(&salt, &prompt(7), |_, _, _| true, NOW);
     assert_eq!(first.steps, [prefix_cache::Step::Save(address), prefix_cache::Step::Prefill]);
-    let second = stores.plan(&salt, &prompt(7), true, NOW + Millis(50));
+    let second = stores.plan(&salt, &prompt(7), |_, _, _| true, NOW + Millis(50));
     assert_eq!(second.steps, [prefix_cache::Step::Prefill, prefix_cache::Step::Prefill]);
     let contents = stores.contents_mut(&id::Upstream::new("s1")).unwrap();
     contents.update(&page(1, 2, vec![stored("m|1|", 7, 6_400)]), NOW, NOW);
-    assert!(!stores.plan(&salt, &prompt(7), true, NOW).fetches(), "half of the segment");
+    assert!(!stores.plan(&salt, &prompt(7), |_, _, _| true, NOW).fetches(), "half of the segment");
     let contents = stores.contents_mut(&id::Upstream::new("s1")).unwrap();
     contents.update(&page(1, 3, vec![stored("m|1|", 7, 12_800)]), NOW, NOW);
-    assert!(stores.plan(&salt, &prompt(7), true, NOW).fetches());
-    assert!(!stores.plan(&Arc::from("m|2|"), &prompt(7), true, NOW).fetches(), "other weights");
+    assert!(stores.plan(&salt, &prompt(7), |_, _, _| true, NOW).fetches());
+    assert!(
+        !stores.plan(&Arc::from("m|2|"), &prompt(7), |_, _, _| true, NOW).fetches(),
+        "other weights"
+    );
 }
 
 /// Guards against a fetch under an outdated entry of a restarted store while another instance saves
@@ -81,8 +86,8 @@
     for step in 0..50 {
         let now = NOW + Millis(step * 100);
         aware.contents_mut(&id).unwrap().update(&page(2, 1, vec![]), now, now);
-        let fetches = unaware.plan(&salt, &prompt(7), true, now).fetches();
-        let saves = aware.plan(&salt, &prompt(7), true, now).saves();
+        let fetches = unaware.plan(&salt, &prompt(7), |_, _, _| true, now).fetches();
+        let saves = aware.plan(&salt, &prompt(7), |_, _, _| true, now).saves();
         assert!(!(fetches && saves), "at {now}");
         if saves {
             return;
@@ -100,7 +105,7 @@
     let salt: Arc<str> = Arc::from("m|1|");
     let mut used = BTreeSet::new();
     for segment in 0..20 {
-        let plan = stores.plan(&salt, &prompt(segment), true, NOW);
+        let plan = stores.plan(&salt, &prompt(segment), |_, _, _| true, NOW);
         let prefix_cache::Step::Save(address) = plan.steps[0] else {
             panic!("segment {segment} is not saved");
         };
@@ -121,8 +126,8 @@
     let salt: Arc<str> = Arc::from("m|1|");
     for segment in 0..50 {
         assert_eq!(
-            a.plan(&salt, &prompt(segment), true, NOW),
-            b.plan(&salt, &prompt(segment), true, NOW)
+            a.plan(&salt, &prompt(segment), |_, _, _| true, NOW),
+            b.plan(&salt, &prompt(segment), |_, _, _| true, NOW)
         );
     }
 }
@@ -323,6 +328,6 @@
     assert!(stores.holds_returned_scope(&a, &none));
     assert!(!stores.holds_returned_scope(&none, &none));
     assert!(!stores.holds_returned_scope(&none, &a));
-    assert!(stores.plan(&salt(&none, None), &prompt(7), true, NOW).fetches());
-    assert!(!stores.plan(&salt(&none, None), &prompt(7), false, NOW).fetches());
+    assert!(stores.plan(&salt(&none, None), &prompt(7), |_, _, _| true, NOW).fetches());
+    assert!(!stores.plan(&salt(&none, None), &prompt(7), |_, _, _| false, NOW).fetches());
 }
