Name the parts of an encoded request

Cause: Clippy rejected the tuple that a request is encoded to as too complex. Change: struct Encoded.

--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -54,6 +54,15 @@
 /// this small arrives together with its head.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A request as it is sent to an upstream.
+struct Encoded {
+    req: Request<Full<Bytes>>,
+    /// The caching steps of its prompt, for the log.
+    plan_summary: &'static str,
+    /// Cache stores that it fetches segments from, and the tokens.
+    fetches: Vec<(id::Upstream, u64)>,
+}
+
 /// The upstream sent no response head within this time.
 struct NoResponse {
     waited: Millis,
@@ -101,7 +110,7 @@
             return job::Outcome::NotSent("the software version may get no request".to_owned());
         }
         let now = clock::now();
-        let (req, plan_summary, fetches) = self.encode(id, model_version);
+        let Encoded { req, plan_summary, fetches } = self.encode(id, model_version);
         if self.attempts == 0 {
             self.entry.retry_windows.borrow_mut().record_first_attempt(&self.service.id, now);
         }
@@ -318,11 +327,7 @@
         Some(prefix_cache::salt(&prompt.model, version, scope))
     }
 
-    fn encode(
-        &self,
-        id: &id::Upstream,
-        version: u64,
-    ) -> (Request<Full<Bytes>>, &'static str, Vec<(id::Upstream, u64)>) {
+    fn encode(&self, id: &id::Upstream, version: u64) -> Encoded {
         let now = clock::now();
         let salt = self.salt(version);
         let mut plan = prefix_cache::Plan::default();
@@ -365,7 +370,7 @@
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = self.parts.uri.clone();
         *req.headers_mut() = self.entry.port.forward_headers(&self.parts.headers, &forward);
-        (req, plan.summary(), fetches)
+        Encoded { req, plan_summary: plan.summary(), fetches }
     }
 
     /// Returns whether an engine fetches a segment from a store: if that is expected to take less
