--- a/damaskdrift/src/entry/forward/send.rs
+++ b/damaskdrift/src/entry/forward/send.rs
@@ -348,7 +348,6 @@
         // Not the rank: an engine whose memory is full preempts a long prompt for each more urgent
         // request, and then prefills it again. The queue of the instance orders them instead.
         let workspace_priority = self.workspace.and_then(|workspace| workspace.priority);
-        let shared_tokens = self.head.prompt.as_ref().map_or(0, port::Prompt::shared_tokens);
         let engine = salt.as_deref().map(|salt| port::EngineHeaders {
             priority: workspace_priority.unwrap_or(self.route.priority).min(LOWEST_PRIORITY),
             salt,
@@ -357,7 +356,7 @@
             fetch_deadline_ms: self
                 .entry
                 .upstream_now()
-                .map(|now| now + prefix_cache::fetch_timeout(shared_tokens).0),
+                .map(|now| now + prefix_cache::FETCH_TIMEOUT.0),
         });
         let time_left = self.time_left();
         let forward = port::ForwardHeaders {
@@ -373,8 +372,8 @@
         Encoded { req, plan_summary: plan.summary(), fetches }
     }
 
-    /// Returns whether an engine fetches a segment from a store: if that is expected to take less
-    /// time than to prefill it, with some preference for the fetch, which leaves the engine free.
+    /// Returns whether an engine fetches a segment from a store: if the fetch is expected to end in
+    /// time. A slower one than the prefill is preferred too, because it leaves the engine free.
     fn may_fetch(
         &self,
         id: &id::Upstream,
@@ -393,7 +392,7 @@
         let pending = upstreams.fetching(store);
         let engine = self.service.engine.as_ref();
         let fetch_ms = prefix_cache::fetch_ms(record, engine, segment.tokens, pending, is_remote);
-        fetch_ms <= prefix_cache::max_fetch_ms(segment.tokens)
+        fetch_ms < prefix_cache::FETCH_TIMEOUT.0 as f64
     }
 
     fn observe(&self, id: &id::Upstream, observation: balance::Observation) {
--- a/damaskdrift/src/entry/port.rs
+++ b/damaskdrift/src/entry/port.rs
@@ -47,12 +47,6 @@
 }
 
 impl Prompt {
-    /// Returns the tokens of the segments that other requests may have as well.
-    pub fn shared_tokens(&self) -> u64 {
-        let shared = self.segments.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|segment| segment.tokens).sum()
-    }
-
     /// Returns the ids of the segments that other requests may have as well.
     pub fn shared_segments(&self) -> Rc<[u64]> {
         let shared = self.segments.split_last().map_or(&[][..], |(_, shared)| shared);
--- a/damaskdrift_core/src/prefix_cache/mod.rs
+++ b/damaskdrift_core/src/prefix_cache/mod.rs
@@ -10,4 +10,4 @@
 pub use plan::{CacheStores, Plan, Segment, Step};
 pub use salt::{Salt, parse_salt, salt};
 pub use scope::{IsolatedSet, Scope, Scopes};
-pub use transfer::{FetchTime, fetch_ms, fetch_timeout, max_fetch_ms};
+pub use transfer::{FETCH_TIMEOUT, FetchTime, fetch_ms};
--- a/damaskdrift_core/src/prefix_cache/transfer.rs
+++ b/damaskdrift_core/src/prefix_cache/transfer.rs
@@ -9,17 +9,9 @@
 /// Factor by which a transfer between failure domains takes longer, as the platform states.
 const REMOTE_FACTOR: f64 = 2.0;
 
-/// Time after which the result of a fetch is discarded at the latest. The freeing of segments relies
-/// on it.
-const MAX_FETCH_TIMEOUT: Millis = Millis(2_000);
-/// Time after which the result of a fetch is discarded at the earliest.
-const MIN_FETCH_TIMEOUT: Millis = Millis(300);
-/// Multiple of the time to prefill the same segments after which the result of a fetch is discarded.
-const TIMEOUT_PREFILLS: f64 = 6.0;
-/// Multiple of the time to prefill a segment that its fetch may be expected to take.
-const MAX_FETCH_PREFILLS: f64 = 4.0;
-/// Assumed time to prefill a token.
-const PREFILL_MS_PER_TOKEN: f64 = 1.0 / 60.0;
+/// Time after which the result of a fetch is discarded and the segments are prefilled. Engines start
+/// no transfer that would wait longer, and the freeing of segments relies on it.
+pub const FETCH_TIMEOUT: Millis = Millis(2_000);
 
 /// Expected time to fetch the shared segments of a prompt, by the failure domain of the engine.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -83,15 +75,3 @@
     let mbit_per_s = store.link_mbit_per_s.min(engine.link_mbit_per_s);
     (mbit_per_s > 0).then(|| engine.token_bytes as f64 * 8.0 / (mbit_per_s as f64 * 1_000.0))
 }
-
-/// Returns the longest expected time of a fetch of `tokens` that is preferred to their prefill.
-pub fn max_fetch_ms(tokens: u64) -> f64 {
-    (tokens as f64 * PREFILL_MS_PER_TOKEN * MAX_FETCH_PREFILLS).max(DEFAULT_FETCH.0 as f64)
-}
-
-/// Returns the time after which the result of a fetch of `tokens` is discarded and the segments are
-/// prefilled.
-pub fn fetch_timeout(tokens: u64) -> Millis {
-    let by_prefill = Millis((tokens as f64 * PREFILL_MS_PER_TOKEN * TIMEOUT_PREFILLS) as u64);
-    by_prefill.clamp(MIN_FETCH_TIMEOUT, MAX_FETCH_TIMEOUT)
-}
