Refuse no prompt that could start within two seconds; share places once

Change: the useful time of a prompt is at least 2 s, for which callers wait; the queue claims room by chance only where load is known at once; places are shared out below one and a half for each instance.

--- a/damaskdrift/src/entry/forward/waiting.rs
+++ b/damaskdrift/src/entry/forward/waiting.rs
@@ -38,6 +38,9 @@
 /// Multiple of the target latency within which the first chunk has to be expected for a prompt to
 /// join the queue. Later responses are worth less than the work that they delay.
 const USEFUL_TARGETS: u32 = 2;
+/// Time within which a first chunk is useful in any case: callers wait for that long, and a late
+/// response is worth more to them than a refusal while few requests wait.
+const MIN_USEFUL_TIME: Duration = Duration::from_secs(2);
 /// Interval at which a waiting prompt checks whether it may still be served.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -77,6 +80,8 @@
                 // The limit is for less urgent requests; the places that they leave are no room.
                 let requirements = balance::Requirements { prefill_limit: None, ..*requirements };
                 let (upstreams, with_room) = upstreams.count_room(&requirements, cx, clock::now());
+                // Where load is known late, the instances share out the free places themselves.
+                let with_room = if cx.is_load_delayed { upstreams } else { with_room };
                 let engine = self.service.engine;
                 admission_queue::Capacity {
                     upstreams,
@@ -182,7 +187,7 @@
             tokens,
             is_returning: false,
             target_start: start(target, needed),
-            useful_start: start(target * USEFUL_TARGETS, needed),
+            useful_start: start((target * USEFUL_TARGETS).max(MIN_USEFUL_TIME), needed),
             latest_start: start(until.unwrap_or(longest), needed * SERVICE_TIME_MARGIN),
         }
     }
--- a/damaskdrift_core/src/balance/places.rs
+++ b/damaskdrift_core/src/balance/places.rs
@@ -9,9 +9,9 @@
 /// Time until the load that a sent request adds is known to the other instances of a fleet with
 /// relays.
 const REPORT_DELAY: Millis = Millis(100);
-/// Free places for each instance from which they are not shared out: more than an instance sends
-/// within [`REPORT_DELAY`].
-const PLENTY: f64 = 4.0;
+/// Free places for each instance from which they are not shared out: about what an instance sends
+/// within [`REPORT_DELAY`]. A random engine seldom holds the segments of a prompt.
+const PLENTY: f64 = 1.5;
 /// Largest number of places that an instance saves up.
 const MAX_CREDIT: f64 = 2.0;
 
