--- a/damaskdrift_core/src/balance/choice.rs
+++ b/damaskdrift_core/src/balance/choice.rs
@@ -21,7 +21,7 @@
 /// millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 60.0;
 /// Share of its target latency that a request spends behind others at an engine.
-const QUEUE_SHARE_OF_TARGET: f64 = 0.5;
+const QUEUE_SHARE_OF_TARGET: f64 = 0.75;
 /// Time of an engine's first step and of the network round trip.
 const FIRST_STEP: Millis = Millis(20);
 /// Delay that each request in flight adds to a new one, because they share the engine's steps.
@@ -46,7 +46,7 @@
 const KV_CACHE_FRACTION: f64 = 0.9;
 /// Part of that fraction which less urgent requests leave to the most urgent ones, which otherwise
 /// preempt them. A preempted prompt is prefilled again.
-const URGENT_KV_CACHE_FRACTION: f64 = 0.1;
+const URGENT_KV_CACHE_FRACTION: f64 = 0.03;
 /// Cost of recomputing a prompt token that another engine has prefilled, in addition to the prefill
 /// time, because the work delays the requests behind it.
 const RECOMPUTE_COST_MS_PER_TOKEN: f64 = 0.1;
