review: show that silent crashes escape the quarantine

Engines fall silent when they crash on a segment. Their requests end by the deadline, which is no evidence for the quarantine.

Tried: two instances, six engines, prompts of three segments, 60 s, a request with the segment each 0.15 s from second 15 on, 40 sound requests a second.

--- a/review/standin-2/crash.rs
+++ b/review/standin-2/crash.rs
@@ -5,6 +5,7 @@
 use std::io::{self, BufReader, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -33,6 +34,7 @@
 const FREE_CRASHES: usize = 5;
 /// Parts before the one that crashes servers, unless `DEPTH` gives another number.
 const DEPTH: u32 = 70;
+const SHALLOW: u32 = 1;
 /// First part of all requests of the route.
 const FIRST_PART: &str = "5c1e07a2:300";
 /// The part that crashes servers.
@@ -52,14 +54,23 @@
 
 type Shared = Arc<Mutex<Seen>>;
 
-pub fn run(folder: &Path, has_trouble: bool, record: &mut record::Record) -> Verdict {
-    let depth = std::env::var("DEPTH").ok().and_then(|text| text.parse().ok()).unwrap_or(DEPTH);
+/// Runs the case. A server that crashes closes its connections, or falls silent, as if its machine had
+/// stopped.
+pub fn run(
+    folder: &Path,
+    has_trouble: bool,
+    is_silent: bool,
+    record: &mut record::Record,
+) -> Verdict {
+    let default_depth = if is_silent { SHALLOW } else { DEPTH };
+    let depth =
+        std::env::var("DEPTH").ok().and_then(|text| text.parse().ok()).unwrap_or(default_depth);
     let seen = Shared::default();
     let (store, address) = store::Store::start();
     engines::configure(&store, "");
     for number in 0..ENGINES {
         let (store, seen) = (store.clone(), seen.clone());
-        thread::spawn(move || run_engine(number, &store, &seen));
+        thread::spawn(move || run_engine(number, is_silent, &store, &seen));
     }
     let mut machines = Vec::new();
     for number in 1..=MACHINES {
@@ -74,7 +85,9 @@
     for (number, machine) in machines.iter().enumerate() {
         for caller in 0..CALLERS {
             let (front, seen) = (machine.front, seen.clone());
-            thread::spawn(move || send_sound(front, &format!("s{number}-{caller}"), &seen));
+            thread::spawn(move || {
+                send_sound(front, &format!("s{number}-{caller}"), is_silent, &seen)
+            });
         }
     }
     let fronts: Vec<_> = machines.iter().map(|machine| machine.front).collect();
@@ -138,13 +151,13 @@
 }
 
 /// Runs a server that starts again after each crash, as a new incarnation.
-fn run_engine(number: u32, store: &store::Store, seen: &Shared) {
+fn run_engine(number: u32, is_silent: bool, store: &store::Store, seen: &Shared) {
     for incarnation in 1.. {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
         let address = listener.local_addr().expect("a bound socket has an address");
         let id = format!("i-{number}-{incarnation}");
         store.put(&format!("servers/{id}"), &engines::entry(address, incarnation));
-        let ended = serve_until_crash(listener, &id, seen);
+        let ended = serve_until_crash(listener, &id, is_silent, seen);
         seen.lock().expect("no thread panics").crashes.push(ended);
         // The entry expires after three status reports of silence.
         let (store, key) = (store.clone(), format!("servers/{id}"));
@@ -156,19 +169,12 @@
     }
 }
 
-/// Serves until a request crashes the server; closes all connections and the listener then.
-fn serve_until_crash(listener: TcpListener, id: &str, seen: &Shared) -> Instant {
+/// Serves until a request crashes the server.
+fn serve_until_crash(listener: TcpListener, id: &str, is_silent: bool, seen: &Shared) -> Instant {
     listener.set_nonblocking(true).expect("a listener can be set to non-blocking");
-    let has_crashed = Arc::new(Mutex::new(false));
+    let has_crashed = Arc::<AtomicBool>::default();
     let mut open: Vec<TcpStream> = Vec::new();
-    loop {
-        if *has_crashed.lock().expect("no thread panics") {
-            for stream in &open {
-                // The peer may have closed it.
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-            return Instant::now();
-        }
+    while !has_crashed.load(Ordering::Relaxed) {
         let Ok((stream, _)) = listener.accept() else {
             thread::sleep(Duration::from_millis(1));
             continue;
@@ -179,14 +185,27 @@
         let (id, seen, has_crashed) = (id.to_owned(), seen.clone(), has_crashed.clone());
         thread::spawn(move || drop(serve(stream, &id, &seen, &has_crashed)));
     }
+    if is_silent {
+        // The sockets stay open without a word until the script ends.
+        std::mem::forget((listener, open));
+    } else {
+        for stream in &open {
+            // The peer may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+    Instant::now()
 }
 
-fn serve(stream: TcpStream, id: &str, seen: &Shared, has_crashed: &Mutex<bool>) -> io::Result<()> {
+fn serve(stream: TcpStream, id: &str, seen: &Shared, has_crashed: &AtomicBool) -> io::Result<()> {
     stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = http::read(&mut reader)? {
+        if has_crashed.load(Ordering::Relaxed) {
+            return Ok(());
+        }
         if request.path() == "/damaskdrift/report" {
             writer.write_all(&http::response(200, &[], engines::REPORT))?;
             continue;
@@ -205,7 +224,9 @@
         }
         thread::sleep(ANSWER);
         if is_crashing {
-            *has_crashed.lock().expect("no thread panics") = true;
+            has_crashed.store(true, Ordering::Relaxed);
+        }
+        if has_crashed.load(Ordering::Relaxed) {
             return Ok(());
         }
         writer.write_all(&engines::answer(&request))?;
@@ -229,14 +250,23 @@
     client.receive().map(|answer| answer.status())
 }
 
-/// Sends sound requests, which share their first part.
-fn send_sound(front: SocketAddr, caller: &str, seen: &Shared) {
+/// Sends sound requests, which share their first part: each after the answer to the one before, or at
+/// a fixed rate.
+fn send_sound(front: SocketAddr, caller: &str, has_fixed_rate: bool, seen: &Shared) {
     for number in 0.. {
         let id = format!("{caller}-{number}");
         let request = request(&id, &format!("{FIRST_PART},{:x}:80", number % 7 + 0x100000));
         seen.lock().expect("no thread panics").sent.insert(id, Instant::now());
-        let status = send(front, &request).unwrap_or(0);
-        *seen.lock().expect("no thread panics").answers.entry(status).or_default() += 1;
+        let seen = seen.clone();
+        let send = move || {
+            let status = send(front, &request).unwrap_or(0);
+            *seen.lock().expect("no thread panics").answers.entry(status).or_default() += 1;
+        };
+        if has_fixed_rate {
+            thread::spawn(send);
+        } else {
+            send();
+        }
         thread::sleep(SOUND_PAUSE);
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -44,7 +44,8 @@
     let verdict = match case.as_str() {
         "sent-ahead" => sent_ahead::run(&folder, has_trouble, &mut record),
         "prompt-parts" => prompt_parts::run(&folder, has_trouble, &mut record),
-        "deep-part" => crash::run(&folder, has_trouble, &mut record),
+        "deep-part" => crash::run(&folder, has_trouble, false, &mut record),
+        "silent-crash" => crash::run(&folder, has_trouble, true, &mut record),
         "metrics-memory" => metrics_memory::run(&folder, has_trouble, &mut record),
         _ => Verdict::NotRun,
     };
