--- a/review/standin-2/engines.rs
+++ b/review/standin-2/engines.rs
@@ -109,10 +109,19 @@
     http::response(200, &[("content-type", "application/json")], body.as_bytes())
 }
 
+/// What the configuration of a service of servers without models says.
+pub struct Plain {
+    /// `header-bytes`.
+    pub header_bytes: u32,
+    /// `anonymous-access` of the route.
+    pub is_anonymous: bool,
+}
+
 /// Writes a route to a service of servers without models.
-pub fn configure_plain(store: &store::Store) {
+fn configure_plain(store: &store::Store, plain: &Plain) {
+    let Plain { header_bytes, is_anonymous } = plain;
     store.put("op/config", &format!(
-        r#"{{"version":1,"routes":[{{"name":"plain","host":"h.example","path-prefix":"/plain/","kind":"safe","timeout-ms":2000,"target-latency-ms":300,"priority":2,"service":"plain","attempts":2,"anonymous-access":false}}],"services":[{{"name":"plain","health-check-path":"/health","connection-limit":110,"protocol":"h1","tls":false,"cold-start-s":0.0,"cold-per-s":0.0}}],"limits":{{"header-bytes":16384,"body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"t1","api-keys":["key1"]}}]}}"#
+        r#"{{"version":1,"routes":[{{"name":"plain","host":"h.example","path-prefix":"/plain/","kind":"safe","timeout-ms":2000,"target-latency-ms":300,"priority":2,"service":"plain","attempts":2,"anonymous-access":{is_anonymous}}}],"services":[{{"name":"plain","health-check-path":"/health","connection-limit":110,"protocol":"h1","tls":false,"cold-start-s":0.0,"cold-per-s":0.0}}],"limits":{{"header-bytes":{header_bytes},"body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"t1","api-keys":["key1"]}}]}}"#
     ));
 }
 
@@ -125,8 +134,8 @@
 
 /// Starts servers without models, which work on each request for some time, and writes them to the
 /// platform's store with a route.
-pub fn start_plain(store: &store::Store, work: Duration) {
-    configure_plain(store);
+pub fn start_plain(store: &store::Store, plain: &Plain, work: Duration) {
+    configure_plain(store, plain);
     for number in 0..ENGINES {
         let address = http::serve(move |request| {
             thread::sleep(work);
--- a/review/standin-2/sent_ahead.rs
+++ b/review/standin-2/sent_ahead.rs
@@ -22,6 +22,7 @@
 const CLIENTS: usize = 200;
 const CONNECTIONS: usize = 12;
 const AHEAD: u32 = 1_000;
+const PLAIN: engines::Plain = engines::Plain { header_bytes: 16_384, is_anonymous: false };
 /// Time that a server works on a request.
 const WORK: Duration = Duration::from_millis(60);
 const ORDINARY_PAUSE: Duration = Duration::from_millis(100);
@@ -38,7 +39,7 @@
 
 pub fn run(folder: &Path, has_trouble: bool, record: &mut record::Record) -> Verdict {
     let (store, address) = store::Store::start();
-    engines::start_plain(&store, WORK);
+    engines::start_plain(&store, &PLAIN, WORK);
     let mut machines = Vec::new();
     for number in 1..=MACHINES {
         machines.push(program::Machine::start(folder, number, address, MEMORY_MB));
